--- /dev/null
+++ b/micadeck/__init__.py
@@ -0,0 +1,1 @@
+"""Micadeck: the sidecar that puts magpiemux's decisions on real sockets."""
--- /dev/null
+++ b/micadeck/__main__.py
@@ -0,0 +1,75 @@
+"""Starts a sidecar: `python -m micadeck`.
+
+Exit codes: 0 after SIGTERM or SIGINT, 1 if it can't listen, 2 if its configuration is bad.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+
+from micadeck.config import Config, ConfigError, load
+from micadeck.sidecar import Sidecar
+
+_LINES_PER_S = 20.0
+_LINES_AT_ONCE = 200.0
+
+
+class LineLog:
+    """Writes lines to standard error, not more than so many a second: a log must not fill a disk."""
+
+    def __init__(self) -> None:
+        self._allowance = _LINES_AT_ONCE
+        self._at = 0.0
+        self._left_out = 0
+
+    def __call__(self, text: str) -> None:
+        now = asyncio.get_running_loop().time()
+        self._allowance = min(self._allowance + (now - self._at) * _LINES_PER_S, _LINES_AT_ONCE)
+        self._at = now
+        if self._allowance < 1.0:
+            self._left_out += 1
+            return
+        self._allowance -= 1.0
+        if self._left_out:
+            print(f"left out {self._left_out} lines", file=sys.stderr)
+            self._left_out = 0
+        print(text, file=sys.stderr, flush=True)
+
+
+async def serve(config: Config) -> None:
+    """Run until SIGTERM or SIGINT, then drain."""
+    log = LineLog()
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    sidecar = Sidecar(config, log)
+    await sidecar.start()
+    log(f"{config.name} serves on {config.listen[0]}:{config.listen[1]}")
+    gc.freeze()  # what is there now stays: collections need not look at it
+    await stop.wait()
+    log("draining")
+    await sidecar.drain()
+    log("drained")
+
+
+def main() -> int:
+    try:
+        config = load(os.environ)
+    except ConfigError as fault:
+        print(f"micadeck: config: {fault}".replace("\n", " "), file=sys.stderr)
+        return 2
+    try:
+        asyncio.run(serve(config))
+    except OSError as fault:
+        print(f"micadeck: can't listen: {fault}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/micadeck/config.py
@@ -0,0 +1,122 @@
+"""What a sidecar is told at its start: the JSON configuration, and the environment for what it leaves out."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from magpiemux import Settings
+from magpiemux.adapter import settings_from_wire
+from micadeck.client import Address, parse_address
+from micadeck.discovery import Listing, parse_listing
+
+_DEFAULT_SOCKETS = 1_024
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; the text begins with the key at fault."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """A sidecar's configuration."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    settings: Settings
+    seed: int
+    sockets: int
+    known: Listing
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+    peers_all: Address | None
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Read the file that `BALANCER_CONFIG` names; raise ConfigError on nonsense."""
+    path = environ.get("BALANCER_CONFIG")
+    if not path:
+        raise ConfigError("BALANCER_CONFIG: the path of the configuration is needed")
+    try:
+        given = json.loads(Path(path).read_bytes())
+    except (OSError, ValueError, RecursionError) as fault:
+        raise ConfigError(f"BALANCER_CONFIG: {path} can't be read: {fault}") from None
+    if not isinstance(given, dict):
+        raise ConfigError("BALANCER_CONFIG: the file must hold an object")
+    from_environment = {
+        key: environ[f"BALANCER_{key.upper()}"]
+        for key in ("name", "listen", "discovery")
+        if f"BALANCER_{key.upper()}" in environ
+    }
+    return parse({**from_environment, **given})
+
+
+def parse(given: Mapping[str, Any]) -> Config:
+    """Check a configuration; raise ConfigError, naming the key, on nonsense."""
+    try:
+        settings = settings_from_wire(given.get("settings"))
+    except ValueError as nonsense:
+        text = str(nonsense)
+        raise ConfigError(text if text.startswith("settings") else f"settings.{text}") from None
+    known = given.get("known")
+    try:
+        listing = parse_listing(known) if known is not None else Listing(0, True, ())
+    except ValueError as nonsense:
+        raise ConfigError(f"known: {nonsense}") from None
+    peers = given.get("peers") or []
+    if not isinstance(peers, list):
+        raise ConfigError("peers: a list of addresses is needed")
+    return Config(
+        name=_text(given, "name"),
+        listen=_address("listen", given.get("listen")),
+        discovery=_address("discovery", given.get("discovery")),
+        settings=settings,
+        seed=_seed(given.get("seed")),
+        sockets=_sockets(given.get("limits")),
+        known=listing,
+        peer_listen=_optional_address("peer_listen", given.get("peer_listen")),
+        peers=tuple(_address(f"peers[{index}]", each) for index, each in enumerate(peers)),
+        peers_all=_optional_address("peers_all", given.get("peers_all")),
+    )
+
+
+def _text(given: Mapping[str, Any], key: str) -> str:
+    value = given.get(key)
+    if not isinstance(value, str) or not value:
+        raise ConfigError(f"{key}: a text is needed, not {value!r:.60}")
+    return value
+
+
+def _address(key: str, value: object) -> Address:
+    try:
+        return parse_address(value)
+    except ValueError as nonsense:
+        raise ConfigError(f"{key}: {nonsense}") from None
+
+
+def _optional_address(key: str, value: object) -> Address | None:
+    return None if value in (None, "") else _address(key, value)
+
+
+def _seed(value: object) -> int:
+    if type(value) is int and value >= 0:
+        return value
+    try:
+        return int(value, 16)  # type: ignore[call-overload, no-any-return]
+    except (TypeError, ValueError):
+        raise ConfigError(f"seed: hexadecimal digits are needed, not {value!r:.60}") from None
+
+
+def _sockets(limits: object) -> int:
+    if limits is None:
+        return _DEFAULT_SOCKETS
+    if not isinstance(limits, Mapping):
+        raise ConfigError("limits: an object is needed")
+    value = limits.get("sockets", _DEFAULT_SOCKETS)
+    if type(value) is not int or value < 64:
+        raise ConfigError(f"limits.sockets: a whole number from 64 is needed, not {value!r:.60}")
+    return value
--- /dev/null
+++ b/micadeck/discovery.py
@@ -0,0 +1,257 @@
+"""The list of servers: reading it, fetching it and watching it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+from magpiemux.interface import ListedServer, ListKind, ServersListed, ServerState
+from micadeck.client import Address, ClientConnection, Failure, Message, Response, parse_address
+
+_STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
+_PATH = "/catalog/members"
+_MOST_BYTES = 4 << 20  # of a whole list
+_ANSWER_WITHIN_S = 5.0  # for a call, beyond what it was told to wait
+_DIAL_WITHIN_S = 1.0
+_WATCH_MS = 20_000  # how long a watch may wait for news
+_PUSHED_AGAIN_S = 0.2  # where lists are pushed nobody asks again: a broken watch is taken up after this
+_MOST_CALLS = 8  # at once; more fail unasked
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A line of the list, with where the server can be reached from here."""
+
+    listed: ListedServer
+    address: Address | None  # None: it left
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """An answer of discovery."""
+
+    version: int
+    full: bool
+    entries: tuple[Entry, ...]
+
+    def event(self, kind: ListKind | None = None) -> ServersListed:
+        by_form = ListKind.COMPLETE if self.full else ListKind.CHANGES
+        return ServersListed(kind or by_form, [each.listed for each in self.entries], self.version)
+
+
+def parse_listing(given: object) -> Listing:
+    """Read a list of servers in discovery's form; raise ValueError on nonsense."""
+    if not isinstance(given, dict):
+        raise ValueError("an object is needed")
+    version, full, servers = given.get("version"), given.get("full"), given.get("servers")
+    if type(version) is not int or version < 0:
+        raise ValueError(f"version: a whole number is needed, not {version!r:.60}")
+    if not isinstance(full, bool):
+        raise ValueError(f"full: true or false is needed, not {full!r:.60}")
+    if not isinstance(servers, list):
+        raise ValueError(f"servers: a list is needed, not {servers!r:.60}")
+    return Listing(version, full, tuple(_entry(each) for each in servers))
+
+
+def _entry(given: object) -> Entry:
+    if not isinstance(given, dict):
+        raise ValueError("servers: an object is needed for each")
+    name = given.get("id")
+    if not isinstance(name, str) or not name:
+        raise ValueError(f"servers: an id is needed, not {name!r:.60}")
+    try:
+        state = _STATES[given["state"]]
+    except (KeyError, TypeError):
+        raise ValueError(f"servers: unknown state {given.get('state')!r:.60} of {name:.60}") from None
+    address = None if state is ServerState.GONE else parse_address(given.get("addr"))
+    started_ms = _number(given, "started_ms", 0)
+    listed = ListedServer(
+        server=name,
+        zone=_text(given, "zone"),
+        kind=_text(given, "kind"),
+        cell=int(_number(given, "cell", 0)),
+        state=state,
+        nominal=_number(given, "weight", 1.0),
+        started_at=int(started_ms * 1_000) or None,
+    )
+    return Entry(listed, address)
+
+
+def _text(given: dict[str, Any], key: str) -> str:
+    value = given.get(key)
+    if value is None:
+        return ""
+    if not isinstance(value, str):
+        raise ValueError(f"servers: {key}: a text is needed, not {value!r:.60}")
+    return value
+
+
+def _number(given: dict[str, Any], key: str, default: float) -> float:
+    value = given.get(key)
+    if value is None:
+        return default
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < 2**53:
+        raise ValueError(f"servers: {key}: a number is needed, not {value!r:.60}")
+    return value
+
+
+class CallFailed(Exception):
+    """Discovery did not answer a call, or not with a list."""
+
+
+class Discovery:
+    """Calls to discovery.  Every `follow` and `fetch` is answered by one call of `on_list` or `on_failed`."""
+
+    def __init__(
+        self,
+        address: Address,
+        version: int,
+        pushed: bool,
+        on_list: Callable[[Listing], None],
+        on_failed: Callable[[], None],
+    ) -> None:
+        self._address = address
+        self._version = version
+        self._pushed = pushed
+        self._on_list = on_list
+        self._on_failed = on_failed
+        self._watch: asyncio.Task[None] | None = None
+        self._watch_answered = False
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self) -> None:
+        """Where lists are pushed, the agent's are heard from the start on, unasked."""
+        if self._pushed:
+            self._watch = self._spawn(self._hear_pushed())
+
+    def follow(self, wanted: bool) -> None:
+        """Watch the list from now on, or no longer.
+
+        Asked again before its first answer, a watch goes on as it is: to call anew would give up the place in
+        discovery's line, and calls that are begun over and over while it is slow would never be answered.
+        """
+        if self._pushed:
+            return
+        if self._watch is not None and not self._watch.done():
+            if wanted and not self._watch_answered:
+                return
+            self._watch.cancel()
+            self._watch = None
+        if wanted:
+            self._watch_answered = False
+            self._watch = self._spawn(self._follow())
+
+    def fetch(self) -> None:
+        """Ask once for the whole list."""
+        if len(self._tasks) >= _MOST_CALLS:
+            asyncio.get_running_loop().call_soon(self._on_failed)
+            return
+        self._spawn(self._fetch())
+
+    def close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _fetch(self) -> None:
+        line = _Line(self._address)
+        try:
+            listing = await line.call(None, 0)
+        except CallFailed:
+            self._on_failed()
+        else:
+            self._heard(listing)
+        finally:
+            line.close()
+
+    async def _follow(self) -> None:
+        try:
+            await self._watch_on()
+        except CallFailed:
+            self._watch = None
+            self._on_failed()
+
+    async def _hear_pushed(self) -> None:
+        while True:
+            try:
+                await self._watch_on()
+            except CallFailed:
+                await asyncio.sleep(_PUSHED_AGAIN_S)
+
+    async def _watch_on(self) -> None:
+        """Watch until a call fails.  The first call waits for nothing, so that it is answered soon."""
+        line = _Line(self._address)
+        try:
+            wait_ms = 0
+            while True:
+                listing = await line.call(self._version, wait_ms)
+                if listing.full or listing.entries or not self._watch_answered:
+                    self._watch_answered = True
+                    self._heard(listing)
+                wait_ms = _WATCH_MS
+        finally:
+            line.close()
+
+    def _heard(self, listing: Listing) -> None:
+        self._version = listing.version
+        self._on_list(listing)
+
+
+class _Line:
+    """Calls to discovery one after another, over one connection while that lasts."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._connection: ClientConnection | None = None
+
+    def close(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+
+    async def call(self, after: int | None, wait_ms: int) -> Listing:
+        target = _PATH if after is None else f"{_PATH}?after={after}&wait_ms={wait_ms}"
+        try:
+            async with asyncio.timeout(wait_ms / 1_000 + _ANSWER_WITHIN_S):
+                response = await self._get(target.encode())
+        except (OSError, TimeoutError) as fault:
+            raise CallFailed(str(fault)) from None
+        if isinstance(response, Failure) or response.status != 200:
+            raise CallFailed("no list")
+        try:
+            return parse_listing(json.loads(response.body))
+        except (ValueError, RecursionError) as nonsense:
+            raise CallFailed(str(nonsense)) from None
+
+    async def _get(self, target: bytes) -> Response | Failure:
+        if self._connection is None or not self._connection.is_usable():
+            self.close()
+            self._connection = await self._dial()
+        answer: asyncio.Future[Response | Failure] = asyncio.get_running_loop().create_future()
+
+        def ended(how: Response | Failure) -> None:
+            if not answer.done():
+                answer.set_result(how)
+
+        host = f"{self._address[0]}:{self._address[1]}".encode()
+        self._connection.exchange(Message(b"GET", target, [(b"host", host)]), ended)
+        return await answer
+
+    async def _dial(self) -> ClientConnection:
+        def made() -> ClientConnection:
+            return ClientConnection(_MOST_BYTES, _ignore, _ignore)
+
+        async with asyncio.timeout(_DIAL_WITHIN_S):
+            _, connection = await asyncio.get_running_loop().create_connection(made, *self._address)
+        return connection
+
+
+def _ignore(_: ClientConnection) -> None:
+    """Nothing is kept of it."""
--- /dev/null
+++ b/micadeck/peers.py
@@ -0,0 +1,64 @@
+"""Datagrams between sidecars."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from micadeck.client import Address
+
+MOST_BYTES = 256  # of a datagram; a longer one is never sent
+
+
+class Peers(asyncio.DatagramProtocol):
+    """Sends to sidecars of the tier by number, and tells who a datagram came from."""
+
+    def __init__(
+        self,
+        peers: tuple[Address, ...],
+        everyone: Address | None,
+        me: int,
+        on_message: Callable[[int, bytes], None],
+    ) -> None:
+        self._peers = peers
+        self._everyone = everyone
+        self._me = me
+        self._numbers = {address: number for number, address in enumerate(peers)}
+        self._on_message = on_message
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def listen(self, address: Address) -> None:
+        await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=address)
+
+    def tell(self, receiver: int | None, payload: bytes) -> bool:
+        """Send to one sidecar, or to all; say whether it could be sent at all."""
+        if self._transport is None or len(payload) > MOST_BYTES:
+            return False
+        if receiver is not None:
+            if not 0 <= receiver < len(self._peers):
+                return False
+            self._transport.sendto(payload, self._peers[receiver])
+        elif self._everyone is not None:
+            self._transport.sendto(payload, self._everyone)
+        else:
+            for number, address in enumerate(self._peers):
+                if number != self._me:
+                    self._transport.sendto(payload, address)
+        return True
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.DatagramTransport)
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        number = self._numbers.get((addr[0], addr[1]))
+        if number is None or number == self._me or len(data) > MOST_BYTES:
+            return  # not from a sidecar of the tier
+        self._on_message(number, data)
+
+    def error_received(self, exc: Exception) -> None:
+        """A datagram may be lost; that is all an error says."""
--- /dev/null
+++ b/micadeck/upstream.py
@@ -0,0 +1,279 @@
+"""Calls to servers: attempts and probes, and the pool of connections that carries them."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from magpiemux.interface import Limits, Outcome, ServerState
+from micadeck.client import Address, ClientConnection, Failure, Message, Response
+from micadeck.clock import Clock
+from micadeck.discovery import Listing
+
+MOST_BODY = 64 << 10
+_IDLE_MARGIN = 0.1  # of the idle limit: a connection this near to it may be closed at the far end by now
+# What says that this machine, not the server, had no room for a connection.
+_OWN_FAULTS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+
+Done = Callable[[Outcome, Response | None], None]
+
+
+class Call:
+    """One request to one server.  `done` is called exactly once, never from within `start` or `cancel`."""
+
+    __slots__ = ("connection", "done", "ended", "message", "server", "timer", "until")
+
+    def __init__(self, server: str, until: int, message: Callable[[int], Message], done: Done) -> None:
+        self.server = server
+        self.until = until
+        self.message = message  # given the time left, in microseconds
+        self.done = done
+        self.ended = False
+        self.connection: ClientConnection | None = None  # once it is written
+        self.timer: asyncio.TimerHandle | None = None
+
+
+@dataclass(slots=True)
+class _Idle:
+    connection: ClientConnection
+    since: int
+
+
+class _Server:
+    """Where a server is reached, and the connections to the process that is there now."""
+
+    __slots__ = ("address", "idle", "is_leaving", "started_at")
+
+    def __init__(self, address: Address, started_at: int | None) -> None:
+        self.address = address
+        self.started_at = started_at
+        self.is_leaving = False
+        self.idle: list[_Idle] = []  # the most recently used last
+
+
+class Upstream:
+    """All connections to servers, `most` at once."""
+
+    def __init__(self, clock: Clock, limits: Limits, most: int) -> None:
+        self._clock = clock
+        self._dial_within_s = limits.dial_timeout_us / 1e6
+        self._use_within_us = int(limits.idle_close_us * (1.0 - _IDLE_MARGIN))
+        self._most = most
+        self._servers: dict[str, _Server] = {}
+        self._owners: dict[ClientConnection, _Server] = {}  # of every open connection
+        self._dialling = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._sweep: asyncio.TimerHandle | None = None
+
+    # The list
+
+    def listed(self, listing: Listing) -> None:
+        """Take over a list or its changes, before any action that follows from it."""
+        if listing.full:
+            for name in self._servers.keys() - {each.listed.server for each in listing.entries}:
+                self._drop(name)
+        for entry in listing.entries:
+            name, address = entry.listed.server, entry.address
+            if address is None:
+                self._drop(name)
+                continue
+            server = self._servers.get(name)
+            if server is None or (server.address, server.started_at) != (address, entry.listed.started_at):
+                # Guards against writing to what was there before under the same id.
+                self._drop(name)
+                server = self._servers[name] = _Server(address, entry.listed.started_at)
+            server.is_leaving = entry.listed.state is not ServerState.READY
+
+    def _drop(self, name: str) -> None:
+        server = self._servers.pop(name, None)
+        if server is not None:
+            server.is_leaving = True  # for dials under way
+            self._close_idle(server)
+
+    # Calls
+
+    def start(self, call: Call) -> None:
+        loop = asyncio.get_running_loop()
+        server = self._servers.get(call.server)
+        left_us = call.until - self._clock.now()
+        if server is None or server.is_leaving or left_us <= 0:
+            loop.call_soon(self._end, call, Outcome.UNSENT)
+            return
+        call.timer = loop.call_later(left_us / 1e6, self._expire, call)
+        connection = self._take(server)
+        if connection is not None:
+            self._write(call, connection)
+        elif self._has_room():
+            self._dialling += 1
+            task = loop.create_task(self._dial(call, server))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        else:
+            loop.call_soon(self._end, call, Outcome.UNSENT)
+
+    def cancel(self, call: Call) -> None:
+        """Stop waiting; the outcome follows."""
+        if call.ended:
+            return
+        call.ended = True  # from here on nothing is written for it, also when a dial comes up
+        if call.timer is not None:
+            call.timer.cancel()
+        if call.connection is not None:
+            call.connection.close()
+        asyncio.get_running_loop().call_soon(call.done, Outcome.CANCELLED, None)
+
+    def close_idle(self, name: str) -> None:
+        server = self._servers.get(name)
+        if server is not None:
+            self._close_idle(server)
+
+    def close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        if self._sweep is not None:
+            self._sweep.cancel()
+        for connection in list(self._owners):
+            connection.close()
+
+    def _expire(self, call: Call) -> None:
+        if call.connection is None:
+            # Still dialling: not a byte was written, so it never ran.
+            self._end(call, Outcome.DIAL_FAILED)
+        else:
+            call.connection.close()
+            self._end(call, Outcome.EXPIRED)
+
+    def _end(self, call: Call, outcome: Outcome, response: Response | None = None) -> None:
+        if call.ended:
+            return
+        call.ended = True
+        if call.timer is not None:
+            call.timer.cancel()
+        call.done(outcome, response)
+
+    def _write(self, call: Call, connection: ClientConnection) -> None:
+        def ended(how: Response | Failure) -> None:
+            self._end(call, _outcome(how), how if isinstance(how, Response) else None)
+
+        call.connection = connection
+        connection.exchange(call.message(max(call.until - self._clock.now(), 1_000)), ended)
+
+    # Connections
+
+    async def _dial(self, call: Call, server: _Server) -> None:
+        outcome = Outcome.DIAL_FAILED
+        connection: ClientConnection | None = None
+        try:
+            async with asyncio.timeout(self._dial_within_s):
+                _, connection = await asyncio.get_running_loop().create_connection(
+                    lambda: ClientConnection(MOST_BODY, self._freed, self._closed), *server.address
+                )
+        except (OSError, TimeoutError) as fault:
+            if isinstance(fault, OSError) and fault.errno in _OWN_FAULTS:
+                outcome = Outcome.UNSENT
+        finally:
+            self._dialling -= 1
+        if connection is None:
+            self._end(call, outcome)
+            return
+        self._owners[connection] = server
+        if server.is_leaving:
+            # Guards rule 3: word of its drain came while the dial was under way.
+            connection.close()
+            self._end(call, Outcome.UNSENT)
+        elif call.ended:
+            self._freed(connection)  # guards against writing what was called off; the connection is good
+        elif connection.is_usable():
+            self._write(call, connection)
+        else:
+            connection.close()
+            self._end(call, Outcome.DIAL_FAILED)
+
+    def _has_room(self) -> bool:
+        """Whether one more connection may be opened, at the price of the one that is idle for longest."""
+        if len(self._owners) + self._dialling < self._most:
+            return True
+        oldest = min(
+            (server for server in self._servers.values() if server.idle),
+            key=lambda server: server.idle[0].since,
+            default=None,
+        )
+        if oldest is None:
+            return False
+        oldest.idle.pop(0).connection.close()
+        return True
+
+    def _take(self, server: _Server) -> ClientConnection | None:
+        """The most recently used idle connection that is good, if there is one."""
+        while server.idle:
+            idle = server.idle.pop()
+            if self._clock.now() - idle.since < self._use_within_us and idle.connection.is_usable():
+                return idle.connection
+            idle.connection.close()
+        return None
+
+    def _freed(self, connection: ClientConnection) -> None:
+        server = self._owners.get(connection)
+        if server is None or server.is_leaving:
+            connection.close()
+            return
+        server.idle.append(_Idle(connection, self._clock.now()))
+        if self._sweep is None:
+            self._sweep = asyncio.get_running_loop().call_later(self._use_within_us / 4e6, self._close_old)
+
+    def _close_old(self) -> None:
+        """Close what has been idle for nearly as long as servers allow."""
+        self._sweep = None
+        before = self._clock.now() - self._use_within_us
+        for server in self._servers.values():
+            while server.idle and server.idle[0].since <= before:
+                server.idle.pop(0).connection.close()
+        if any(server.idle for server in self._servers.values()):
+            self._sweep = asyncio.get_running_loop().call_later(self._use_within_us / 4e6, self._close_old)
+
+    def _closed(self, connection: ClientConnection) -> None:
+        server = self._owners.pop(connection, None)
+        if server is not None:
+            server.idle = [each for each in server.idle if each.connection is not connection]
+
+    def _close_idle(self, server: _Server) -> None:
+        idle, server.idle = server.idle, []
+        for each in idle:
+            each.connection.close()
+
+
+def _outcome(how: Response | Failure) -> Outcome:
+    if how is Failure.UNWRITTEN:
+        return Outcome.DIAL_FAILED
+    if how is Failure.BROKEN:
+        return Outcome.DROPPED
+    if isinstance(how, Response):
+        if how.status == 200:
+            return Outcome.DELIVERED
+        if how.status in (503, 504) and how.header(b"not-started") == b"1":
+            return Outcome.FULL
+    return Outcome.ERROR
+
+
+def load_report(
+    response: Response | None, columns: tuple[str, ...], *, in_body: bool = False
+) -> dict[str, float] | None:
+    """The load report of an answer, as far as the settings name its figures; nonsense counts as none."""
+    if response is None:
+        return None
+    text = response.body if in_body else response.header(b"server-load")
+    if not text:
+        return None
+    report: dict[str, float] = {}
+    for pair in text.decode("latin-1").removeprefix("TEXT ").split(","):
+        name, _, figure = pair.partition("=")
+        if name.strip() in columns:
+            try:
+                value = float(figure)
+            except ValueError:
+                continue
+            if value - value == 0.0:  # finite
+                report[name.strip()] = value
+    return report or None
