--- a/micadeck/__main__.py
+++ b/micadeck/__main__.py
@@ -47,9 +47,12 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    loop.set_exception_handler(
+        lambda _, what: log(f"internal error: {what['message']}: {what.get('exception')!r}")
+    )
     sidecar = Sidecar(config, log)
     await sidecar.start()
-    log(f"{config.name} serves on {config.listen[0]}:{config.listen[1]}")
+    log(f"{config.name} serves on {config.listen[0]}:{sidecar.frontend.port}")
     gc.freeze()  # what is there now stays: collections need not look at it
     await stop.wait()
     log("draining")
--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -138,7 +138,7 @@
         self._request: h11.Request | None = None
         self._body = bytearray()
         self._owed: int | None = None  # the open request
-        self._ahead = 0
+        self._is_writing_paused = False
         self._ended = False  # no more is read from it
 
     @property
@@ -156,6 +156,8 @@
         closing = self._frontend.is_draining or self._ended
         if closing:
             headers = [*headers, (b"connection", b"close")]
+        if self._request is not None and self._request.method == b"HEAD":
+            body = b""  # it allows none, not even with a refusal
         send = self._http.send
         try:
             head = send(
@@ -174,10 +176,11 @@
             self._request = None
             self._body = bytearray()
             self._frontend.at_rest(self)
-            if self._ahead:
-                self._ahead = 0
-                self._transport.resume_reading()
+            if self._http.trailing_data[0]:
+                # Guards against waiting for data when the next request came in one piece with this one.
                 asyncio.get_running_loop().call_soon(self._advance)
+            if not self._is_writing_paused:
+                self._transport.resume_reading()
         else:
             self._transport.close()
 
@@ -195,16 +198,22 @@
     def data_received(self, data: bytes) -> None:
         if self._ended:
             return
-        if self._owed is not None:
-            self._ahead += len(data)
-            if self._ahead > _READ_AHEAD and self._transport is not None:
-                self._transport.pause_reading()
-        try:
-            self._http.receive_data(data)
-        except h11.RemoteProtocolError as fault:
-            self._reject(fault.error_status_hint)
-            return
+        self._http.receive_data(data)
         self._advance()
+        ahead = len(self._http.trailing_data[0]) if self._owed is not None else 0
+        if ahead > _READ_AHEAD and self._transport is not None:
+            self._transport.pause_reading()
+
+    def pause_writing(self) -> None:
+        self._is_writing_paused = True
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        self._is_writing_paused = False
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+            self._advance()
 
     def eof_received(self) -> None:
         self._gone()
@@ -224,6 +233,8 @@
     def _advance(self) -> None:
         """Read on as far as what has come allows."""
         while self._owed is None and not self._ended and self._transport is not None:
+            if self._is_writing_paused:
+                return  # guards against a client that asks on and on, and reads no answer
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as fault:
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -110,6 +110,11 @@
         self._discovery.start()
         await self.frontend.listen(self._config.listen)
 
+    @property
+    def open_requests(self) -> int:
+        """Requests that are not over: unanswered, or with an attempt still out."""
+        return len(self._open)
+
     async def drain(self) -> None:
         """Answer all that was taken and is still coming, then let go of everything."""
         loop = asyncio.get_running_loop()
@@ -150,14 +155,22 @@
                 event = self._events.popleft()
                 if isinstance(event, AttemptEnded):
                     event.answered = self._is_answered(event.request)
-                actions = self._balancer.handle(self._clock.now(), event)
-                for action in actions:
-                    self._carry_out(action)
+                try:
+                    for action in self._balancer.handle(self._clock.now(), event):
+                        self._carry_out(action)
+                except Exception as fault:
+                    self._defect(event, fault)
                 if isinstance(event, AttemptEnded):
                     self._forget_if_over(event.request)
         finally:
             self._is_handling = False
 
+    def _defect(self, event: Event, fault: Exception) -> None:
+        """Live on after a defect in the decisions, and owe nobody an answer because of it."""
+        self._log(f"internal error: {type(event).__name__}: {fault!r}")
+        if isinstance(event, (RequestArrived, AttemptEnded)):
+            self._answer(event.request, 500, [])
+
     def _listed(self, listing: discovery.Listing) -> None:
         self._upstream.listed(listing)
         self._post(listing.event())
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,282 @@
+"""Scripted ends on loopback sockets: servers, discovery and clients round one sidecar in this process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+from micadeck.config import parse
+from micadeck.sidecar import Sidecar
+
+HOST = "127.0.0.1"
+PATIENCE_S = 20.0  # how long a test waits for what must come; never what it measures
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nserved"
+ERROR = b"HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n"
+FULL = b"HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
+
+CLASSES = [
+    {"name": "check", "giveUpUs": 3_000_000, "promiseUs": 750_000, "repeat": "read_like"},
+    {
+        "name": "amend",
+        "giveUpUs": 2_000_000,
+        "promiseUs": 600_000,
+        "repeat": "idempotency_key",
+        "group": "cell",
+        "memorySpanUs": 2_000_000,
+    },
+    {"name": "lodge", "giveUpUs": 4_000_000, "promiseUs": 1_200_000, "repeat": "non_idempotent"},
+]
+
+T = TypeVar("T")
+
+
+def play(work: Callable[[], Coroutine[Any, Any, T]]) -> T:
+    """Run one test's coroutine; a test that hangs fails."""
+
+    async def bounded() -> T:
+        async with asyncio.timeout(2 * PATIENCE_S):
+            return await work()
+
+    return asyncio.run(bounded())
+
+
+async def soon(what: Awaitable[T]) -> T:
+    async with asyncio.timeout(PATIENCE_S):
+        return await what
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(PATIENCE_S):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+@dataclass
+class Heard:
+    """A request as it came, and the connection it came on."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    connection: int
+    writer: asyncio.StreamWriter
+
+
+async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    pairs = (line.partition(":") for line in head[1:] if line)
+    return head[0], {name.lower(): value.strip() for name, _, value in pairs}
+
+
+Script = Callable[[Heard], Awaitable[bytes | None]]
+
+
+class ScriptedServer:
+    """Hears requests and answers by a script; None answers nothing."""
+
+    def __init__(self, script: Script | bytes | None) -> None:
+        self.script = script
+        self.heard: list[Heard] = []
+        self.closed: list[int] = []  # connections that the other side ended
+        self.connections = 0
+        self._writers: list[asyncio.StreamWriter] = []
+        self._server: asyncio.Server | None = None
+
+    async def start(self, port: int = 0) -> ScriptedServer:
+        self._server = await asyncio.start_server(self._serve, HOST, port)
+        return self
+
+    @property
+    def address(self) -> str:
+        assert self._server is not None
+        return f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        number, self.connections = self.connections, self.connections + 1
+        self._writers.append(writer)
+        try:
+            while True:
+                line, headers = await read_head(reader)
+                body = await reader.readexactly(int(headers.get("content-length", "0")))
+                method, target, _ = line.split(" ")
+                heard = Heard(method, target, headers, body, number, writer)
+                self.heard.append(heard)
+                script = self.script
+                answer = await script(heard) if callable(script) else script
+                if answer is not None:
+                    writer.write(answer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.closed.append(number)
+            writer.close()
+
+    def hang_up(self) -> None:
+        """End all connections that are open."""
+        writers, self._writers = self._writers, []
+        for writer in writers:
+            writer.close()
+
+    def stop(self) -> None:
+        assert self._server is not None
+        self._server.close()
+        self.hang_up()
+
+
+class ScriptedDiscovery(ScriptedServer):
+    """Answers every call that may wait with silence until `tell`, and others with the list."""
+
+    def __init__(self) -> None:
+        super().__init__(self._answer)
+        self.version = 1
+        self.servers: list[dict[str, Any]] = []
+        self.news: asyncio.Queue[bytes] = asyncio.Queue()
+
+    async def _answer(self, heard: Heard) -> bytes:
+        if "wait_ms" in heard.target and not heard.target.endswith("wait_ms=0"):
+            return await self.news.get()
+        return reply(json.dumps({"version": self.version, "full": True, "servers": self.servers}).encode())
+
+    def tell(self, *changed: dict[str, Any]) -> None:
+        self.version += 1
+        self.news.put_nowait(
+            reply(json.dumps({"version": self.version, "full": False, "servers": changed}).encode())
+        )
+
+
+def reply(body: bytes, status: str = "200 OK") -> bytes:
+    return b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status.encode(), len(body), body)
+
+
+def line(name: str, address: str, **changes: Any) -> dict[str, Any]:
+    """A line of discovery's list."""
+    return {"id": name, "addr": address, "zone": "a", "kind": "", "cell": 1, "state": "active", **changes}
+
+
+@dataclass
+class Answer:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Client:
+    """One connection of the application."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    def send(self, raw: bytes) -> None:
+        self.writer.write(raw)
+
+    async def answer(self) -> Answer:
+        first, headers = await soon(read_head(self.reader))
+        body = await soon(self.reader.readexactly(int(headers["content-length"])))
+        return Answer(int(first.split(" ")[1]), headers, body)
+
+    async def ask(self, kind: str = "check", **how: Any) -> Answer:
+        self.send(request(kind, **how))
+        return await self.answer()
+
+    def close(self) -> None:
+        self.writer.close()
+
+
+_METHODS = {"check": "GET", "amend": "POST", "lodge": "POST"}
+_ids = iter(range(1, 1_000_000))
+
+
+def request(
+    kind: str = "check",
+    timeout: str = "2.0",
+    body: bytes = b"",
+    target: str = "/api/7f3a?x=1",
+    **headers: str,
+) -> bytes:
+    """A request as clients word it; a header given as an empty text is left out."""
+    given = {
+        "Host": "origin.svc",
+        "Request-Id": f"{next(_ids):016x}",
+        "Request-Class": kind,
+        "Tenant": "acme",
+        "Request-Timeout": timeout,
+        "Idempotency-Key": "5c0f" if kind == "amend" else "",
+        "Content-Length": str(len(body)) if _METHODS.get(kind) == "POST" else "",
+    }
+    given.update({name.replace("_", "-"): value for name, value in headers.items()})
+    head = "".join(f"{name}: {value}\r\n" for name, value in given.items() if value)
+    return f"{_METHODS.get(kind, 'GET')} {target} HTTP/1.1\r\n{head}\r\n".encode() + body
+
+
+@dataclass
+class Stage:
+    """A sidecar with scripted ends."""
+
+    sidecar: Sidecar
+    discovery: ScriptedDiscovery
+    servers: list[ScriptedServer]
+    log: list[str]
+    clients: list[Client] = field(default_factory=list)
+
+    async def client(self) -> Client:
+        client = Client(*await asyncio.open_connection(HOST, self.sidecar.frontend.port))
+        self.clients.append(client)
+        return client
+
+    async def ask(self, kind: str = "check", **how: Any) -> Answer:
+        return await (await self.client()).ask(kind, **how)
+
+    @property
+    def heard(self) -> list[Heard]:
+        return [each for server in self.servers for each in server.heard]
+
+
+@asynccontextmanager
+async def stage(
+    *scripts: Script | bytes | None,
+    bounds: dict[str, Any] | None = None,
+    given: dict[str, Any] | None = None,
+    listed: bool = True,
+    **settings: Any,
+) -> AsyncIterator[Stage]:
+    """A sidecar, its discovery and one server for each script, all known to it from the start."""
+    servers = [await ScriptedServer(script).start() for script in scripts]
+    discovery = ScriptedDiscovery()
+    if listed:
+        discovery.servers = [line(f"s-{index}", each.address) for index, each in enumerate(servers)]
+    await discovery.start()
+    limits = {"sendCap": 3, "mayCancel": True, "retryAfter": True, "dialTimeoutUs": 1_000_000}
+    config = {
+        "name": "n0",
+        "listen": f"{HOST}:0",
+        "discovery": discovery.address,
+        "seed": "8c1f",
+        "known": {"version": 1, "full": True, "servers": discovery.servers},
+        "settings": {
+            "lanes": CLASSES,
+            "zone": "a",
+            "quantumUs": 5_000,
+            "discovery": "on_request",
+            "report": {"columns": ["qps", "util"], "source": "piggyback"},
+            "bounds": {**limits, **(bounds or {})},
+            **settings,
+        },
+        **(given or {}),
+    }
+    log: list[str] = []
+    sidecar = Sidecar(parse(config), log.append)
+    await sidecar.start()
+    scene = Stage(sidecar, discovery, servers, log)
+    try:
+        yield scene
+    finally:
+        sidecar.close()
+        for client in scene.clients:
+            client.close()
+        for server in (*servers, discovery):
+            server.stop()
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,172 @@
+"""Watching and fetching the list, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from loopback import HOST, Heard, ScriptedDiscovery, ScriptedServer, line, play, reply, soon, until
+
+from micadeck.client import parse_address
+from micadeck.discovery import Discovery, Listing, parse_listing
+
+
+class Ears:
+    """What discovery told."""
+
+    def __init__(self, server: ScriptedServer, version: int = 41, pushed: bool = False) -> None:
+        self.events: asyncio.Queue[Listing | None] = asyncio.Queue()
+        self.discovery = Discovery(
+            parse_address(server.address),
+            version,
+            pushed,
+            self.events.put_nowait,
+            lambda: self.events.put_nowait(None),
+        )
+
+    async def next(self) -> Listing | None:
+        return await soon(self.events.get())
+
+
+def test_a_watch_is_answered_at_once_then_waits_for_news() -> None:
+    async def work() -> None:
+        server = ScriptedDiscovery()
+        server.servers = [line("s-1", "127.0.0.2:80")]
+        await server.start()
+        ears = Ears(server)
+        ears.discovery.follow(True)
+        first = await ears.next()
+        assert first is not None and first.full and first.version == 1
+        await until(lambda: len(server.heard) == 2)
+        assert server.heard[0].target == "/catalog/members?after=41&wait_ms=0"
+        assert server.heard[1].target == "/catalog/members?after=1&wait_ms=20000"
+        server.tell(line("s-1", "127.0.0.2:80", state="leaving"))
+        news = await ears.next()
+        assert news is not None and not news.full and news.version == 2
+        await until(lambda: len(server.heard) == 3)
+        ears.discovery.follow(False)
+        await until(lambda: len(server.closed) == 0 or server.closed == [0])
+        ears.discovery.close()
+        server.stop()
+
+    play(work)
+
+
+GOOD = {"version": 7, "full": True, "servers": []}
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        reply(b"", "503 Busy"),
+        reply(b"not json"),
+        reply(b"[" * 100_000),
+        reply(json.dumps({**GOOD, "version": "x"}).encode()),
+        reply(json.dumps({**GOOD, "full": 1}).encode()),
+        reply(json.dumps({**GOOD, "servers": [{"id": "a", "state": "odd"}]}).encode()),
+        reply(json.dumps({**GOOD, "servers": [{"id": "a", "state": "active", "addr": "name:80"}]}).encode()),
+        b"garbage\r\n\r\n",
+        None,
+    ],
+    ids=str,
+)
+@pytest.mark.parametrize("how", ["follow", "fetch"])
+def test_a_call_that_fails_is_one_failure_and_the_next_is_heard(answer: bytes | None, how: str) -> None:
+    async def work() -> None:
+        async def once(heard: Heard) -> bytes:
+            server.script = reply(json.dumps(GOOD).encode())
+            if answer is None:
+                heard.writer.transport.abort()
+                return b""
+            return answer
+
+        server = await ScriptedServer(once).start()
+        ears = Ears(server)
+
+        def call() -> None:
+            if how == "follow":
+                ears.discovery.follow(True)
+            else:
+                ears.discovery.fetch()
+
+        call()
+        assert await ears.next() is None
+        assert ears.events.empty()
+        call()
+        heard = await ears.next()
+        assert heard is not None and heard.version == 7
+        ears.discovery.close()
+        server.stop()
+
+    play(work)
+
+
+def test_discovery_that_is_down_fails_a_call() -> None:
+    async def work() -> None:
+        server = await ScriptedServer(None).start()
+        ears = Ears(server)
+        server.stop()
+        ears.discovery.follow(True)
+        assert await ears.next() is None
+        ears.discovery.fetch()
+        assert await ears.next() is None
+
+    play(work)
+
+
+def test_a_watch_asked_for_again_before_its_answer_keeps_its_place() -> None:
+    # Guards against calls that are begun over and over while discovery is slow, and never answered.
+    async def work() -> None:
+        release = asyncio.Event()
+
+        async def slow(heard: Heard) -> bytes:
+            await release.wait()
+            return reply(json.dumps(GOOD).encode())
+
+        server = await ScriptedServer(slow).start()
+        ears = Ears(server)
+        for _ in range(3):
+            ears.discovery.follow(True)
+        await until(lambda: len(server.heard) == 1)
+        ears.discovery.follow(True)
+        release.set()
+        assert await ears.next() is not None
+        assert server.connections == 1
+        ears.discovery.close()
+        server.stop()
+
+    play(work)
+
+
+def test_pushed_lists_are_heard_unasked_also_after_the_agent_was_away() -> None:
+    async def work() -> None:
+        server = ScriptedDiscovery()
+        await server.start()
+        port = int(server.address.rpartition(":")[2])
+        ears = Ears(server, pushed=True)
+        ears.discovery.start()
+        assert await ears.next() is not None
+        server.stop()
+        again = ScriptedDiscovery()
+        again.version = 9
+        again.servers = [line("s-1", f"{HOST}:80")]
+        await again.start(port)
+        again.tell(line("s-2", f"{HOST}:80"))
+        heard = await ears.next()
+        assert heard is not None and heard.version == 10
+        assert ears.events.empty()
+        ears.discovery.close()
+        again.stop()
+
+    play(work)
+
+
+def test_a_listing_is_read_as_the_decisions_need_it() -> None:
+    listing = parse_listing(
+        {"version": 3, "full": False, "servers": [line("a", "127.0.0.1:80", started_ms=1_700_000_000_123)]}
+    )
+    listed = listing.entries[0].listed
+    assert listed.started_at == 1_700_000_000_123_000
+    gone = parse_listing({"version": 3, "full": False, "servers": [{"id": "a", "state": "left"}]})
+    assert gone.entries[0].address is None
--- /dev/null
+++ b/tests/test_frontend.py
@@ -0,0 +1,159 @@
+"""The application's side, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from loopback import OK, Heard, play, request, stage, until
+
+
+@pytest.mark.parametrize(
+    ("kind", "body"), [("check", b""), ("amend", b'{"a":1}'), ("lodge", b"x" * 65_536)], ids=str
+)
+def test_a_request_goes_on_unchanged_and_its_answer_comes_back(kind: str, body: bytes) -> None:
+    async def work() -> None:
+        async with stage(OK) as scene:
+            answer = await scene.ask(kind, body=body, timeout="1.5", Request_Id="9b1f03aa5c7e2d41")
+            assert (answer.status, answer.body) == (200, b"served")
+            (heard,) = scene.heard
+            assert heard.method == ("GET" if kind == "check" else "POST")
+            assert heard.target == "/api/7f3a?x=1"
+            assert heard.body == body
+            assert heard.headers["request-id"] == "9b1f03aa5c7e2d41"
+            assert heard.headers.get("idempotency-key") == ("5c0f" if kind == "amend" else None)
+            assert 0.0 < float(heard.headers["request-timeout"]) <= 1.5
+
+    play(work)
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"nonsense\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: x\r\nbroken line\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: -4\r\n\r\n",
+        b"GET / HTTP/1.1\r\n\r\n",
+        request(Request_Class=""),
+        request(Request_Class="unheard-of"),
+        request(Request_Id=""),
+        request(Request_Id="two words"),
+        request(Request_Id="a\r\nRequest-Id: b"),
+        request(Request_Timeout=""),
+        request(timeout="soon"),
+        request(timeout="-1"),
+        request(timeout="0"),
+        request(timeout="nan"),
+        request(timeout="1e999"),
+        request(Work_Hint="much"),
+        request("amend", Idempotency_Key=""),
+        request("lodge", Idempotency_Key="5c0f"),
+        request("lodge").replace(b"POST", b"PUT", 1),
+        request("check").replace(b"GET", b"HEAD", 1),
+        request("lodge").replace(b"POST", b"GET", 1),
+        request(target="http://elsewhere/api"),
+    ],
+)
+def test_bad_input_gets_400_and_reaches_no_server(raw: bytes) -> None:
+    async def work() -> None:
+        async with stage(OK) as scene:
+            client = await scene.client()
+            client.send(raw)
+            assert (await client.answer()).status == 400
+            assert scene.heard == []
+            assert (await scene.ask()).status == 200  # it lives on
+
+    play(work)
+
+
+@pytest.mark.parametrize("form", ["length", "chunked"])
+def test_a_body_over_64_kib_gets_413(form: str) -> None:
+    # Guards against a reset that takes the answer with it, when the client is still sending.
+    async def work() -> None:
+        async with stage(OK) as scene:
+            client = await scene.client()
+            body = b"x" * 200_000
+            if form == "length":
+                client.send(request("lodge", body=body))
+            else:
+                head = request("lodge", Content_Length="", Transfer_Encoding="chunked")
+                client.send(head + b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body))
+            assert (await client.answer()).status == 413
+            assert scene.heard == []
+
+    play(work)
+
+
+def test_requests_on_one_connection_are_answered_in_order_also_when_sent_ahead() -> None:
+    async def work() -> None:
+        async def echo(heard: Heard) -> bytes:
+            return b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + heard.target[-2:].encode()
+
+        async with stage(echo) as scene:
+            client = await scene.client()
+            client.send(b"".join(request(target=f"/api/{number}") for number in range(10, 30)))
+            assert [(await client.answer()).body for _ in range(20)] == [b"%d" % n for n in range(10, 30)]
+
+    play(work)
+
+
+def test_a_client_that_leaves_ends_the_attempt_and_the_sidecar_forgets_the_request() -> None:
+    async def work() -> None:
+        async with stage(None) as scene:
+            client = await scene.client()
+            client.send(request("lodge"))
+            await until(lambda: len(scene.heard) == 1)
+            client.close()
+            await until(lambda: scene.servers[0].closed == [0])
+            await until(lambda: scene.sidecar.open_requests == 0)
+
+    play(work)
+
+
+def test_more_than_max_open_is_refused_at_once() -> None:
+    async def work() -> None:
+        release = asyncio.Event()
+
+        async def hold(heard: Heard) -> bytes:
+            await release.wait()
+            return OK
+
+        async with stage(hold, bounds={"maxOpen": 2}) as scene:
+            first, second = await scene.client(), await scene.client()
+            first.send(request("lodge"))
+            second.send(request("lodge"))
+            await until(lambda: scene.sidecar.open_requests == 2)
+            assert (await scene.ask("lodge")).status == 503
+            release.set()
+            assert [(await first.answer()).status, (await second.answer()).status] == [200, 200]
+            assert len(scene.heard) == 2
+
+    play(work)
+
+
+def test_the_connection_longest_at_rest_makes_room_for_a_new_one() -> None:
+    # Guards against running out of descriptors: 64 leave room for a handful of clients.
+    async def work() -> None:
+        async with stage(OK, given={"limits": {"sockets": 64}}) as scene:
+            clients = []
+            for _ in range(20):
+                client = await scene.client()
+                assert (await client.ask()).status == 200
+                clients.append(client)
+            assert await clients[0].reader.read() == b""
+            assert (await clients[-1].ask()).status == 200
+            await until(lambda: scene.sidecar.frontend.open_connections <= 8)
+
+    play(work)
+
+
+def test_health_is_answered_here() -> None:
+    async def work() -> None:
+        async with stage(OK) as scene:
+            client = await scene.client()
+            client.send(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert (await client.answer()).status == 200
+            assert (await client.ask()).status == 200
+            assert len(scene.heard) == 1
+
+    play(work)
--- a/tests/test_on_call.py
+++ b/tests/test_on_call.py
@@ -35,3 +35,13 @@
     lines = MODULE.splitlines()
     assert sum(1 for line in lines if line.strip()) <= 1_200
     assert max(len(line) for line in lines) <= 110
+
+
+def test_every_line_of_the_sidecar_stands_on_the_on_call_page() -> None:
+    page = (ROOT / "docs" / "on-call.md").read_text(encoding="utf-8")
+    source = "".join(each.read_text(encoding="utf-8") for each in (ROOT / "micadeck").glob("*.py"))
+    written = re.findall(r'(?:log|print)\(\s*f?"([^"]*)"', source)
+    assert len(written) >= 8
+    for text in written:
+        fixed = max(re.split(r"\{[^}]*\}", text), key=len).strip(" :")
+        assert fixed and fixed in page, text
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,44 @@
+"""Datagrams between sidecars, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from loopback import HOST, play, soon
+
+from micadeck.client import Address
+from micadeck.peers import Peers
+
+
+def test_peers_hear_one_another_and_nobody_else() -> None:
+    # Guards against an endpoint that never comes up: its failure is only a line in the log.
+    async def work() -> None:
+        ports = []
+        for _ in range(2):
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+                probe.bind((HOST, 0))
+                ports.append(probe.getsockname()[1])
+        addresses: tuple[Address, ...] = tuple((HOST, port) for port in ports)
+        heard: asyncio.Queue[tuple[int, int, bytes]] = asyncio.Queue()
+
+        def ear(me: int) -> Peers:
+            return Peers(addresses, None, me, lambda by, what: heard.put_nowait((me, by, what)))
+
+        first, second = ear(0), ear(1)
+        await first.listen(addresses[0])
+        await second.listen(addresses[1])
+        assert first.tell(1, b"to one")
+        assert await soon(heard.get()) == (1, 0, b"to one")
+        assert second.tell(None, b"to all")
+        assert await soon(heard.get()) == (0, 1, b"to all")
+        assert first.tell(1, b"x" * 256) and not first.tell(1, b"x" * 257) and not first.tell(2, b"nobody")
+        assert await soon(heard.get()) == (1, 0, b"x" * 256)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+            stranger.sendto(b"from a stranger", addresses[1])
+        assert first.tell(1, b"after it")
+        assert await soon(heard.get()) == (1, 0, b"after it")
+        first.close()
+        second.close()
+
+    play(work)
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,192 @@
+"""The program as it is deployed: its configuration, its end and its exit codes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from loopback import (
+    CLASSES,
+    HOST,
+    OK,
+    Client,
+    Heard,
+    ScriptedDiscovery,
+    ScriptedServer,
+    line,
+    play,
+    request,
+    soon,
+    until,
+)
+
+ROOT = Path(__file__).parent.parent
+GOOD: dict[str, Any] = {
+    "name": "n0",
+    "listen": f"{HOST}:0",
+    "discovery": f"{HOST}:9",
+    "seed": "8c1f30d27a5be964",
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+    "known": {"version": 1, "full": True, "servers": []},
+    "settings": {"lanes": CLASSES, "zone": "a", "discovery": "on_request"},
+}
+
+
+def _without(key: str) -> dict[str, Any]:
+    return {name: value for name, value in GOOD.items() if name != key}
+
+
+@pytest.mark.parametrize(
+    ("given", "key"),
+    [
+        ("", "BALANCER_CONFIG"),
+        ("[1]", "BALANCER_CONFIG"),
+        (_without("name"), "name"),
+        ({**GOOD, "listen": "localhost:80"}, "listen"),
+        ({**GOOD, "discovery": 5}, "discovery"),
+        ({**GOOD, "seed": "xyz"}, "seed"),
+        ({**GOOD, "limits": {"sockets": 3}}, "limits.sockets"),
+        ({**GOOD, "known": {"version": 1}}, "known: full"),
+        ({**GOOD, "peers": ["nowhere"]}, "peers[0]"),
+        ({**GOOD, "peer_listen": "x"}, "peer_listen"),
+        (_without("settings"), "settings"),
+        ({**GOOD, "settings": {"lanes": []}}, "settings.classes"),
+        (
+            {**GOOD, "settings": {"lanes": CLASSES, "bounds": {"sendCap": "x"}}},
+            "settings.limits.max_attempts",
+        ),
+    ],
+    ids=str,
+)
+def test_a_bad_configuration_is_one_line_that_names_the_key(given: object, key: str, tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(given if isinstance(given, str) else json.dumps(given))
+    done = subprocess.run(
+        [sys.executable, "-m", "micadeck"],
+        cwd=ROOT,
+        env={**os.environ, "BALANCER_CONFIG": str(path)},
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+    assert done.returncode == 2
+    assert done.stdout == "" and done.stderr.count("\n") == 1
+    assert done.stderr.startswith(f"micadeck: config: {key}")
+
+
+class Program:
+    """The running program, with one server behind it."""
+
+    def __init__(self, process: asyncio.subprocess.Process, port: int, server: ScriptedServer) -> None:
+        self.process, self.port, self.server = process, port, server
+
+    async def client(self) -> Client:
+        return Client(*await asyncio.open_connection(HOST, self.port))
+
+
+@asynccontextmanager
+async def program(script: Callable[[Heard], Any] | bytes, folder: Path) -> AsyncIterator[Program]:
+    server = await ScriptedServer(script).start()
+    discovery = ScriptedDiscovery()
+    discovery.servers = [line("s-1", server.address)]
+    await discovery.start()
+    known = {"version": 1, "full": True, "servers": discovery.servers}
+    path = folder / "config.json"
+    path.write_text(json.dumps({**GOOD, "discovery": discovery.address, "known": known}))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "micadeck",
+        cwd=ROOT,
+        env={**os.environ, "BALANCER_CONFIG": str(path)},
+        stderr=asyncio.subprocess.PIPE,
+    )
+    try:
+        assert process.stderr is not None
+        ready = (await soon(process.stderr.readline())).decode()
+        told = re.search(r"serves on .*:(\d+)", ready)
+        assert told is not None, ready
+        yield Program(process, int(told[1]), server)
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+        server.stop()
+        discovery.stop()
+
+
+def test_sigterm_answers_what_was_taken_and_what_still_comes_then_exits_0(tmp_path: Path) -> None:
+    # Guards against requests lost at a restart: taken before SIGTERM, on kept connections, and on new ones.
+    async def work() -> None:
+        release = asyncio.Event()
+
+        async def hold(heard: Heard) -> bytes:
+            await release.wait()
+            return OK
+
+        async with program(hold, tmp_path) as running:
+            taken, resting = await running.client(), await running.client()
+            taken.send(request("lodge"))
+            await until(lambda: len(running.server.heard) == 1)
+            running.process.send_signal(signal.SIGTERM)
+            assert await soon(resting.reader.read()) == b""  # a connection at rest is let go
+            late = await running.client()
+            late.send(request("lodge"))
+            await until(lambda: len(running.server.heard) == 2)
+            release.set()
+            for client in (taken, late):
+                answer = await client.answer()
+                assert (answer.status, answer.headers["connection"]) == (200, "close")
+                assert await soon(client.reader.read()) == b""
+            assert await soon(running.process.wait()) == 0
+
+    play(work)
+
+
+def test_sigterm_with_a_silent_server_still_answers_in_time(tmp_path: Path) -> None:
+    # Guards against SIGKILL finding a request unanswered that had more time left than the process has.
+    async def work() -> None:
+        async def silent(heard: Heard) -> None:
+            return None
+
+        async with program(silent, tmp_path) as running:
+            taken = await running.client()
+            taken.send(request("lodge", timeout="30"))
+            await until(lambda: len(running.server.heard) == 1)
+            running.process.send_signal(signal.SIGTERM)
+            answer = await taken.answer()
+            assert (answer.status, answer.headers["connection"]) == (504, "close")
+            assert await soon(running.process.wait()) == 0
+
+    play(work)
+
+
+def test_an_address_in_use_is_exit_code_1(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with program(OK, tmp_path) as running:
+            path = tmp_path / "second.json"
+            path.write_text(json.dumps({**GOOD, "listen": f"{HOST}:{running.port}"}))
+            second = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "micadeck",
+                cwd=ROOT,
+                env={**os.environ, "BALANCER_CONFIG": str(path)},
+                stderr=asyncio.subprocess.PIPE,
+            )
+            _, told = await soon(second.communicate())
+            assert second.returncode == 1
+            assert told.startswith(b"micadeck: can't listen: ") and told.count(b"\n") == 1
+
+    play(work)
