Let go of the right connections: stalled clients, unread requests, draining servers

Cause, from reading the paths at the limits and at SIGTERM, each shown by a loopback test that failed first: - frontend.py, opened: only connections at rest made room at the cap. Clients that stall in the middle of a body held descriptors for good; now they are next after those at rest. - frontend.py, is_idle: a connection whose next request lay unread in its socket counted as idle. Closing it resets it, and at the end of a drain nobody listens for the client's second try. Now the socket is asked first. - upstream.py, listed: idle connections to a draining server stayed until the idle limit.

--- a/micadeck/discovery.py
+++ b/micadeck/discovery.py
@@ -14,7 +14,8 @@
 _STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 _PATH = "/catalog/members"
 _MOST_BYTES = 4 << 20  # of a whole list
-_ANSWER_WITHIN_S = 5.0  # for a call, beyond what it was told to wait
+_ANSWER_WITHIN_S = 5.0  # for a call that waits for nothing
+_WATCH_WITHIN_S = 2.0  # and for a watch, beyond its wait: what is told later counts as told all the same
 _DIAL_WITHIN_S = 1.0
 _WATCH_MS = 20_000  # how long a watch may wait for news
 _PUSHED_AGAIN_S = 0.2  # where lists are pushed nobody asks again: a broken watch is taken up after this
@@ -219,7 +220,7 @@
     async def call(self, after: int | None, wait_ms: int) -> Listing:
         target = _PATH if after is None else f"{_PATH}?after={after}&wait_ms={wait_ms}"
         try:
-            async with asyncio.timeout(wait_ms / 1_000 + _ANSWER_WITHIN_S):
+            async with asyncio.timeout(wait_ms / 1_000 + _WATCH_WITHIN_S if wait_ms else _ANSWER_WITHIN_S):
                 response = await self._get(target.encode())
         except (OSError, TimeoutError) as fault:
             raise CallFailed(str(fault)) from None
--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -5,7 +5,7 @@
 import asyncio
 import hashlib
 import re
-import socket
+import select
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
@@ -135,6 +135,7 @@
         self._frontend = frontend
         self._http = h11.Connection(h11.SERVER)
         self._transport: asyncio.Transport | None = None
+        self._poll = select.poll()
         self._request: h11.Request | None = None
         self._body = bytearray()
         self._owed: int | None = None  # the open request
@@ -143,8 +144,13 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether closing it now loses no request that is known."""
-        return self._owed is None and self._request is None and not self._ended
+        """Whether closing it now loses no request, not even one that lies unread in the socket."""
+        return self._owed is None and self._request is None and not self._ended and not self._poll.poll(0)
+
+    @property
+    def is_stalled(self) -> bool:
+        """Whether it holds no more than a part of a request, which nobody has taken yet."""
+        return self._owed is None and not self._ended
 
     # What the sidecar calls
 
@@ -193,6 +199,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
         self._frontend.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -306,7 +313,6 @@
         self.is_draining = False
         self._connections: dict[ClientSide, None] = {}  # the longest at rest first
         self._server: asyncio.Server | None = None
-        self._listener: socket.socket | None = None
         self.last_opened = 0.0
 
     async def listen(self, address: Address) -> None:
@@ -345,11 +351,11 @@
         self._connections[connection] = None
         self.last_opened = asyncio.get_running_loop().time()
         if len(self._connections) > self._most:
-            oldest = next(
-                (each for each in self._connections if each.is_idle and each is not connection), None
-            )
-            if oldest is not None:
-                oldest.close()
+            others = [each for each in self._connections if each is not connection]
+            spare = next((each for each in others if each.is_idle), None)
+            spare = spare or next((each for each in others if each.is_stalled), None)
+            if spare is not None:
+                spare.close()
 
     def at_rest(self, connection: ClientSide) -> None:
         self._connections.pop(connection, None)
--- a/micadeck/upstream.py
+++ b/micadeck/upstream.py
@@ -85,6 +85,8 @@
                 self._drop(name)
                 server = self._servers[name] = _Server(address, entry.listed.started_at)
             server.is_leaving = entry.listed.state is not ServerState.READY
+            if server.is_leaving:
+                self._close_idle(server)
 
     def _drop(self, name: str) -> None:
         server = self._servers.pop(name, None)
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -147,6 +147,32 @@
     play(work)
 
 
+def test_requests_that_stall_half_sent_make_room_for_new_ones() -> None:
+    # Guards against clients that begin a body and never end it: each would hold its descriptor for good.
+    async def work() -> None:
+        async with stage(OK, given={"limits": {"sockets": 64}}) as scene:
+            for _ in range(12):
+                stalled = await scene.client()
+                stalled.send(request("lodge", body=b"x" * 10)[:-1])
+            assert (await scene.ask()).status == 200
+            await until(lambda: scene.sidecar.frontend.open_connections <= 8)
+
+    play(work)
+
+
+def test_letting_go_of_idle_connections_spares_one_with_a_request_unread() -> None:
+    # Guards against a reset that loses a request at the end of a drain, when nobody listens for a second try.
+    async def work() -> None:
+        async with stage(OK) as scene:
+            client = await scene.client()
+            assert (await client.ask()).status == 200
+            client.send(request("lodge"))  # it is in the sidecar's socket now, and the event loop has not run
+            scene.sidecar.frontend.close_idle()
+            assert (await client.answer()).status == 200
+
+    play(work)
+
+
 def test_health_is_answered_here() -> None:
     async def work() -> None:
         async with stage(OK) as scene:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -130,6 +130,18 @@
     play(work)
 
 
+def test_idle_connections_to_a_server_that_drains_are_closed() -> None:
+    # Guards against holding places, of which a server has few, where nothing new may go.
+    async def work() -> None:
+        async with stage(OK, bounds={"idleCloseUs": 600_000_000}) as scene:
+            await until(lambda: len(scene.discovery.heard) >= 2)
+            assert (await scene.ask()).status == 200
+            scene.discovery.tell(line("s-0", scene.servers[0].address, state="leaving"))
+            await until(lambda: scene.servers[0].closed == [0])
+
+    play(work)
+
+
 class SlowToAccept:
     """A server whose connections come up late: its line for new ones is full until it is let go."""
 
