Test every action and event of the sidecar with scripted decisions; read a probe's report from its header too

Cause: upstream.py, load_report, read a probe's report from the body alone where reports exist; any answer may carry it in Server-Load. Seen by the new test with a scripted balancer, failing before the mend. The other actions and events (messages, fetches, cancels, advice to come back, a defect of the decisions, mangled bytes from both sides) held as they were.

--- a/micadeck/upstream.py
+++ b/micadeck/upstream.py
@@ -265,7 +265,7 @@
     """The load report of an answer, as far as the settings name its figures; nonsense counts as none."""
     if response is None:
         return None
-    text = response.body if in_body else response.header(b"server-load")
+    text = response.header(b"server-load") or (response.body if in_body else None)
     if not text:
         return None
     report: dict[str, float] = {}
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -95,6 +95,17 @@
         return Client(*await asyncio.open_connection(HOST, self.port))
 
 
+async def started(config: Path) -> asyncio.subprocess.Process:
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "micadeck",
+        cwd=ROOT,
+        env={**os.environ, "BALANCER_CONFIG": str(config)},
+        stderr=asyncio.subprocess.PIPE,
+    )
+
+
 @asynccontextmanager
 async def program(script: Callable[[Heard], Any] | bytes, folder: Path) -> AsyncIterator[Program]:
     server = await ScriptedServer(script).start()
@@ -104,14 +115,7 @@
     known = {"version": 1, "full": True, "servers": discovery.servers}
     path = folder / "config.json"
     path.write_text(json.dumps({**GOOD, "discovery": discovery.address, "known": known}))
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "micadeck",
-        cwd=ROOT,
-        env={**os.environ, "BALANCER_CONFIG": str(path)},
-        stderr=asyncio.subprocess.PIPE,
-    )
+    process = await started(path)
     try:
         assert process.stderr is not None
         ready = (await soon(process.stderr.readline())).decode()
@@ -177,14 +181,7 @@
         async with program(OK, tmp_path) as running:
             path = tmp_path / "second.json"
             path.write_text(json.dumps({**GOOD, "listen": f"{HOST}:{running.port}"}))
-            second = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "micadeck",
-                cwd=ROOT,
-                env={**os.environ, "BALANCER_CONFIG": str(path)},
-                stderr=asyncio.subprocess.PIPE,
-            )
+            second = await started(path)
             _, told = await soon(second.communicate())
             assert second.returncode == 1
             assert told.startswith(b"micadeck: can't listen: ") and told.count(b"\n") == 1
--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,307 @@
+"""Events and actions: what the decisions see and what becomes of their word, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import pytest
+from loopback import HOST, OK, Heard, play, request, stage, until
+
+from magpiemux import Settings
+from magpiemux.interface import (
+    Action,
+    AttemptEnded,
+    Cancel,
+    CloseIdle,
+    Event,
+    Fail,
+    FetchList,
+    ListKind,
+    Log,
+    MessageReceived,
+    Outcome,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    RequestArrived,
+    RequestGone,
+    Send,
+    ServersListed,
+    SetTimer,
+    Tell,
+    TimerFired,
+)
+
+T = TypeVar("T")
+FAR = 2**52
+
+
+class Scripted:
+    """Decisions by a script, in place of the module; it keeps what it heard."""
+
+    def __init__(self, decide: Callable[[Event], list[Action]]) -> None:
+        self.decide = decide
+        self.events: list[Event] = []
+        self.times: list[int] = []
+        self._inside = False
+
+    def __call__(self, settings: Settings, seed: int) -> Scripted:
+        return self
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        assert not self._inside
+        self._inside = True
+        self.events.append(event)
+        self.times.append(now)
+        try:
+            return self.decide(event)
+        finally:
+            self._inside = False
+
+    def heard(self, kind: type[T]) -> list[T]:
+        return [each for each in self.events if isinstance(each, kind)]
+
+
+@pytest.fixture
+def scripted(monkeypatch: pytest.MonkeyPatch) -> Callable[[Callable[[Event], list[Action]]], Scripted]:
+    def use(decide: Callable[[Event], list[Action]]) -> Scripted:
+        balancer = Scripted(decide)
+        monkeypatch.setattr("micadeck.sidecar.Balancer", balancer)
+        return balancer
+
+    return use
+
+
+Use = Callable[[Callable[[Event], list[Action]]], Scripted]
+
+
+def on_arrival(*actions: Callable[[int], Action]) -> Callable[[Event], list[Action]]:
+    def decide(event: Event) -> list[Action]:
+        return [each(event.request) for each in actions] if isinstance(event, RequestArrived) else []
+
+    return decide
+
+
+def test_final_answers_leave_at_once_and_advice_is_decimal(scripted: Use) -> None:
+    def decide(event: Event) -> list[Action]:
+        if not isinstance(event, RequestArrived):
+            return []
+        number = event.request
+        return [Refuse(number, 250_000)] if event.service_class == "check" else [Fail(number)]
+
+    async def work() -> None:
+        scripted(decide)
+        async with stage(OK) as scene:
+            refused = await scene.ask("check", timeout="9000")
+            assert (refused.status, refused.headers["retry-after"]) == (503, "0.250")
+            failed = await scene.ask("lodge", timeout="9000")
+            assert failed.status in (502, 504) and "retry-after" not in failed.headers
+            assert scene.heard == [] and scene.sidecar.open_requests == 0
+
+    play(work)
+
+
+def test_a_cancelled_attempt_ends_once_and_its_connection_is_closed(scripted: Use) -> None:
+    def decide(event: Event) -> list[Action]:
+        if isinstance(event, RequestArrived):
+            return [Send(event.request, "s-0", FAR), SetTimer(50_000, "later")]
+        if isinstance(event, TimerFired):
+            return [Cancel(1, 0), Cancel(1, 0), Cancel(9, 0), Cancel(1, 7)]
+        return [Fail(event.request)] if isinstance(event, AttemptEnded) else []
+
+    async def work() -> None:
+        balancer = scripted(decide)
+        async with stage(None) as scene:
+            assert (await scene.ask("lodge")).status == 502
+            (ended,) = balancer.heard(AttemptEnded)
+            assert (ended.outcome, ended.answered, ended.server) == (Outcome.CANCELLED, False, "s-0")
+            await until(lambda: scene.servers[0].closed == [0])
+            assert balancer.heard(TimerFired)[0].token == "later"
+            assert balancer.times == sorted(balancer.times)
+
+    play(work)
+
+
+def test_only_the_first_delivery_is_the_answer_and_every_attempt_ends(scripted: Use) -> None:
+    async def work() -> None:
+        balancer = scripted(
+            on_arrival(
+                lambda number: Send(number, "s-0", FAR),
+                lambda number: Send(number, "s-1", FAR),
+                lambda number: Send(number, "unheard-of", FAR),
+                lambda number: Send(number, "s-0", 1),
+            )
+        )
+        async with stage(OK, OK) as scene:
+            assert (await scene.ask()).body == b"served"
+            await until(lambda: len(balancer.heard(AttemptEnded)) == 4)
+            ended = {each.attempt: each for each in balancer.heard(AttemptEnded)}
+            assert [ended[number].outcome for number in range(4)] == [
+                Outcome.DELIVERED,
+                Outcome.DELIVERED,
+                Outcome.UNSENT,
+                Outcome.UNSENT,
+            ]
+            assert all(each.answered for each in (ended[0], ended[1]))
+            assert scene.sidecar.open_requests == 0
+
+    play(work)
+
+
+def test_a_client_that_leaves_is_told_to_the_decisions(scripted: Use) -> None:
+    async def work() -> None:
+        balancer = scripted(on_arrival(lambda number: Send(number, "s-0", FAR)))
+        release = asyncio.Event()
+
+        async def hold(heard: Heard) -> bytes:
+            await release.wait()
+            return OK
+
+        async with stage(hold) as scene:
+            client = await scene.client()
+            client.send(request("check"))
+            await until(lambda: len(scene.heard) == 1)
+            client.close()
+            await until(lambda: balancer.heard(RequestGone) == [RequestGone(1)])
+            release.set()
+            await until(lambda: len(balancer.heard(AttemptEnded)) == 1)
+            assert balancer.heard(AttemptEnded)[0].answered
+
+    play(work)
+
+
+@pytest.mark.parametrize("how", ["header", "body"])
+def test_a_probe_brings_its_report(scripted: Use, how: str) -> None:
+    async def report(heard: Heard) -> bytes:
+        text = b"TEXT qps=7, util=0.5"
+        if how == "header":
+            return b"HTTP/1.1 200 OK\r\nServer-Load: %s\r\nContent-Length: 0\r\n\r\n" % text
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text)
+
+    async def work() -> None:
+        balancer = scripted(lambda event: [Probe("s-0")] if isinstance(event, RequestArrived) else [])
+        async with stage(report, bounds={"probing": True}) as scene:
+            (await scene.client()).send(request())
+            await until(lambda: len(balancer.heard(ProbeEnded)) == 1)
+            ended = balancer.heard(ProbeEnded)[0]
+            assert (ended.server, ended.outcome) == ("s-0", Outcome.DELIVERED)
+            assert ended.report == {"qps": 7.0, "util": 0.5}
+            assert scene.heard[0].target == "/_load" and "request-id" not in scene.heard[0].headers
+
+    play(work)
+
+
+def test_idle_connections_are_closed_the_list_is_fetched_and_lines_are_logged(scripted: Use) -> None:
+    def decide(event: Event) -> list[Action]:
+        if isinstance(event, RequestArrived):
+            return [Send(event.request, "s-0", FAR)]
+        if isinstance(event, AttemptEnded):
+            return [CloseIdle("s-0"), CloseIdle("unheard-of"), FetchList(), Log("a line")]
+        return []
+
+    async def work() -> None:
+        balancer = scripted(decide)
+        async with stage(OK) as scene:
+            assert (await scene.ask()).status == 200
+            await until(lambda: scene.servers[0].closed == [0])
+            await until(lambda: len(balancer.heard(ServersListed)) == 2)
+            assert [each.kind for each in balancer.heard(ServersListed)] == [
+                ListKind.REMEMBERED,
+                ListKind.COMPLETE,
+            ]
+            assert scene.discovery.heard[0].target == "/catalog/members"
+            assert scene.log == ["a line"]
+
+    play(work)
+
+
+def test_a_message_reaches_the_other_sidecar(scripted: Use) -> None:
+    async def work() -> None:
+        balancer = scripted(
+            lambda event: [Tell(1, b"hi"), Tell(1, b"x" * 257)] if isinstance(event, RequestArrived) else []
+        )
+        loop = asyncio.get_running_loop()
+        got: asyncio.Queue[tuple[bytes, tuple[str, int]]] = asyncio.Queue()
+
+        class Other(asyncio.DatagramProtocol):
+            def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+                got.put_nowait((data, addr))
+
+        transport, _ = await loop.create_datagram_endpoint(Other, local_addr=(HOST, 0))
+        other = transport.get_extra_info("sockname")
+        mine, _ = await loop.create_datagram_endpoint(Other, local_addr=(HOST, 0))
+        own = mine.get_extra_info("sockname")
+        mine.close()
+        await asyncio.sleep(0)
+        peers: dict[str, Any] = {
+            "peer_listen": f"{own[0]}:{own[1]}",
+            "peers": [f"{own[0]}:{own[1]}", f"{other[0]}:{other[1]}"],
+        }
+        async with stage(OK, given=peers, bounds={"mayTell": True}) as scene:
+            (await scene.client()).send(request())
+            data, sender = await got.get()
+            assert (data, sender) == (b"hi", own)
+            assert scene.log == ["a message to other sidecars could not be sent"]
+            transport.sendto(b"back", own)
+            await until(lambda: balancer.heard(MessageReceived) == [MessageReceived(1, b"back")])
+        transport.close()
+
+    play(work)
+
+
+def test_a_defect_of_the_decisions_fails_its_request_and_no_other(scripted: Use) -> None:
+    # Guards against a request that nobody owns any more, after an exception on its way.
+    def decide(event: Event) -> list[Action]:
+        if isinstance(event, RequestArrived):
+            if event.service_class == "lodge":
+                raise ZeroDivisionError
+            return [Send(event.request, "s-0", FAR)]
+        return []
+
+    async def work() -> None:
+        scripted(decide)
+        async with stage(OK) as scene:
+            assert (await scene.ask("lodge")).status == 500
+            assert (await scene.ask("check")).status == 200
+            assert scene.log == ["internal error: RequestArrived: ZeroDivisionError()"]
+
+    play(work)
+
+
+def test_any_bytes_from_clients_and_servers_leave_the_sidecar_alive() -> None:
+    chance = random.Random(20)
+
+    def mangled(text: bytes) -> bytes:
+        data = bytearray(text)
+        for _ in range(chance.randint(1, 6)):
+            at = chance.randrange(len(data))
+            data[at : at + chance.randint(0, 4)] = chance.randbytes(chance.randint(0, 4))
+        return bytes(data)
+
+    async def odd(heard: Heard) -> bytes:
+        return mangled(OK + OK) if chance.random() < 0.7 else OK
+
+    async def work() -> None:
+        faults: list[dict[str, Any]] = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: faults.append(context))
+        async with stage(odd, odd, odd) as scene:
+            for number in range(150):
+                client = await scene.client()
+                kind = ("check", "amend", "lodge")[number % 3]
+                client.send(mangled(request(kind, timeout="0.2", body=b"" if kind == "check" else b"body")))
+                client.writer.write_eof()
+                await client.reader.read()
+                client.close()
+            await until(lambda: scene.sidecar.open_requests == 0)
+            scene.servers[0].script = scene.servers[1].script = scene.servers[2].script = OK
+            await until(lambda: scene.sidecar.frontend.open_connections == 0)
+            assert not [each for each in scene.log if "internal" in each]
+            client = await scene.client()
+            client.send(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert (await client.answer()).status == 200
+        assert [each for each in faults if "micadeck" in repr(each) or "protocol." in each["message"]] == []
+
+    play(work)
