Write no request to a server that HTTP does not allow

Cause: frontend.py, read_request, took HTTP/1.0 without Host, and let a client's Connection header take Host off. h11 then refuses to write the request in upstream.py, _write, after the decisions count it as sent: the client had its failure (500), or, behind a dial, waited for its deadline. Found by reading which exceptions can leave _dial; both tests failed first. Now Host is needed, and neither it nor the ids can be taken off.

--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -24,7 +24,7 @@
 _TIMEOUT = re.compile(rb"[0-9]{1,5}(\.[0-9]{0,9})?")
 _HINT = re.compile(rb"[0-9]{1,15}")
 _OWN = frozenset(
-    b"request-id request-class tenant request-timeout client-retry work-hint idempotency-key".split()
+    b"host request-id request-class tenant request-timeout client-retry work-hint idempotency-key".split()
 )
 # Headers that concern one connection only, and those that are made anew for the server.
 _NOT_PASSED = frozenset(
@@ -33,6 +33,9 @@
 )
 
 
+_ALWAYS_PASSED = frozenset((b"host", b"request-id", b"idempotency-key"))  # whatever `Connection` says of them
+
+
 class BadRequest(Exception):
     """What came is not a request of this protocol."""
 
@@ -77,8 +80,9 @@
             if name in own:
                 raise BadRequest(f"{name.decode()} stands twice")
             own[name] = value
-        if name not in dropped or name in (b"request-id", b"idempotency-key"):
+        if name not in dropped or name in _ALWAYS_PASSED:
             headers.append((name, value))
+    _header(own, b"host")  # HTTP/1.0 may leave it out; towards servers it may not be
     kind = classes.get(_header(own, b"request-class").decode("latin-1"))
     if kind is None:
         raise BadRequest("request-class is unknown")
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -52,6 +52,7 @@
         request("check").replace(b"GET", b"HEAD", 1),
         request("lodge").replace(b"POST", b"GET", 1),
         request(target="http://elsewhere/api"),
+        request(Host="").replace(b"HTTP/1.1", b"HTTP/1.0"),
     ],
 )
 def test_bad_input_gets_400_and_reaches_no_server(raw: bytes) -> None:
@@ -147,6 +148,19 @@
     play(work)
 
 
+def test_a_client_cannot_have_the_host_or_the_ids_taken_off() -> None:
+    # Guards against a request that can't be written to a server: its client would wait for the deadline.
+    async def work() -> None:
+        async with stage(OK) as scene:
+            answer = await scene.ask("amend", Connection="host, request-id, idempotency-key, tenant")
+            assert answer.status == 200
+            headers = scene.heard[0].headers
+            assert headers["host"] == "origin.svc" and headers["idempotency-key"] == "5c0f"
+            assert "request-id" in headers and "tenant" not in headers
+
+    play(work)
+
+
 def test_requests_that_stall_half_sent_make_room_for_new_ones() -> None:
     # Guards against clients that begin a body and never end it: each would hold its descriptor for good.
     async def work() -> None:
