--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -31,8 +31,6 @@
     b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect"
     b" request-timeout content-length".split()
 )
-
-
 _ALWAYS_PASSED = frozenset((b"host", b"request-id", b"idempotency-key"))  # whatever `Connection` says of them
 
 
