Bound what a client may take, refuse what reads in two ways, and reload on SIGHUP

(1) h11 takes Content-Length beside Transfer-Encoding and settles on the latter; frontend.py read on after a 400: 93 to 99 hidden requests went on to servers. (2) asyncio accepts up to its backlog (1,024) before any connection is counted, and Frontend.opened let one in with none to close: 376 to 384 of 384 descriptors. (3) no time limits on clients; up to 128 KiB kept behind each open request. (4) no handler for SIGHUP: exit code 129. Ruled out: h11 reads no other head in two ways but bare line feeds, folds and listed lengths (read in its source).

Mend. framing.py checks the raw head; any error closes; states and time limits for client connections, a hard cap with the least missed first; a budget for bytes of unanswered requests; ids of open requests (409); Request-Timeout up to the class's deadline. SIGHUP: the file is checked whole, discovery moves; a fetch that was overtaken changes nothing.

--- a/micadeck/__main__.py
+++ b/micadeck/__main__.py
@@ -40,8 +40,18 @@
         print(text, file=sys.stderr, flush=True)
 
 
+def reload(sidecar: Sidecar, log: LineLog) -> None:
+    """Read the configuration anew; one that can't be used leaves the old one in force."""
+    try:
+        config = load(os.environ)
+    except ConfigError as fault:
+        log(f"reload: the old configuration stays in force: {fault}".replace("\n", " "))
+    else:
+        sidecar.reload(config)
+
+
 async def serve(config: Config) -> None:
-    """Run until SIGTERM or SIGINT, then drain."""
+    """Run until SIGTERM or SIGINT, then drain; SIGHUP reads the configuration anew."""
     log = LineLog()
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -51,6 +61,7 @@
         lambda _, what: log(f"internal error: {what['message']}: {what.get('exception')!r}")
     )
     sidecar = Sidecar(config, log)
+    loop.add_signal_handler(signal.SIGHUP, reload, sidecar, log)
     await sidecar.start()
     log(f"{config.name} serves on {config.listen[0]}:{sidecar.frontend.port}")
     gc.freeze()  # what is there now stays: collections need not look at it
--- a/micadeck/config.py
+++ b/micadeck/config.py
@@ -14,6 +14,7 @@
 from micadeck.discovery import Listing, parse_listing
 
 _DEFAULT_SOCKETS = 1_024
+_DEFAULT_MEMORY_MB = 64
 
 
 class ConfigError(Exception):
@@ -30,6 +31,7 @@
     settings: Settings
     seed: int
     sockets: int
+    memory_mb: int
     known: Listing
     peer_listen: Address | None
     peers: tuple[Address, ...]
@@ -76,7 +78,8 @@
         discovery=_address("discovery", given.get("discovery")),
         settings=settings,
         seed=_seed(given.get("seed")),
-        sockets=_sockets(given.get("limits")),
+        sockets=_limit(given.get("limits"), "sockets", 64, _DEFAULT_SOCKETS),
+        memory_mb=_limit(given.get("limits"), "memory_mb", 16, _DEFAULT_MEMORY_MB),
         known=listing,
         peer_listen=_optional_address("peer_listen", given.get("peer_listen")),
         peers=tuple(_address(f"peers[{index}]", each) for index, each in enumerate(peers)),
@@ -111,12 +114,12 @@
         raise ConfigError(f"seed: hexadecimal digits are needed, not {value!r:.60}") from None
 
 
-def _sockets(limits: object) -> int:
+def _limit(limits: object, key: str, least: int, default: int) -> int:
     if limits is None:
-        return _DEFAULT_SOCKETS
+        return default
     if not isinstance(limits, Mapping):
         raise ConfigError("limits: an object is needed")
-    value = limits.get("sockets", _DEFAULT_SOCKETS)
-    if type(value) is not int or value < 64:
-        raise ConfigError(f"limits.sockets: a whole number from 64 is needed, not {value!r:.60}")
+    value = limits.get(key, default)
+    if type(value) is not int or value < least:
+        raise ConfigError(f"limits.{key}: a whole number from {least} is needed, not {value!r:.60}")
     return value
--- a/micadeck/discovery.py
+++ b/micadeck/discovery.py
@@ -109,7 +109,7 @@
     def __init__(
         self,
         address: Address,
-        version: int,
+        version: int | None,
         pushed: bool,
         on_list: Callable[[Listing], None],
         on_failed: Callable[[], None],
@@ -119,8 +119,11 @@
         self._pushed = pushed
         self._on_list = on_list
         self._on_failed = on_failed
+        self._is_followed = pushed
+        self._changes = 0  # of what is known, so far
         self._watch: asyncio.Task[None] | None = None
         self._watch_answered = False
+        self._fetches: set[asyncio.Task[None]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def start(self) -> None:
@@ -136,6 +139,7 @@
         """
         if self._pushed:
             return
+        self._is_followed = wanted
         if self._watch is not None and not self._watch.done():
             if wanted and not self._watch_answered:
                 return
@@ -150,7 +154,29 @@
         if len(self._tasks) >= _MOST_CALLS:
             asyncio.get_running_loop().call_soon(self._on_failed)
             return
-        self._spawn(self._fetch())
+        fetch = self._spawn(self._fetch())
+        self._fetches.add(fetch)
+        fetch.add_done_callback(self._fetches.discard)
+
+    def move(self, address: Address) -> None:
+        """Ask at another address from now on, and leave the old one at once.
+
+        What was on its way is asked anew there: no failure of the old one is told.  The other discovery
+        counts its own versions, so it is asked for everything first, and taken whatever was known.
+        """
+        self._address = address
+        self._version = None
+        self._changes += 1
+        fetches = len(self._fetches)
+        for task in list(self._tasks):
+            task.cancel()
+        self._tasks.clear()
+        self._fetches.clear()
+        self._watch, self._watch_answered = None, False
+        if self._is_followed:
+            self._watch = self._spawn(self._hear_pushed() if self._pushed else self._follow())
+        for _ in range(fetches):
+            self.fetch()
 
     def close(self) -> None:
         for task in self._tasks:
@@ -163,13 +189,13 @@
         return task
 
     async def _fetch(self) -> None:
-        line = _Line(self._address)
+        line, changes = _Line(self._address), self._changes
         try:
             listing = await line.call(None, 0)
         except CallFailed:
             self._on_failed()
         else:
-            self._heard(listing)
+            self._heard(listing, changes)
         finally:
             line.close()
 
@@ -193,16 +219,27 @@
         try:
             wait_ms = 0
             while True:
+                changes = self._changes
                 listing = await line.call(self._version, wait_ms)
                 if listing.full or listing.entries or not self._watch_answered:
                     self._watch_answered = True
-                    self._heard(listing)
+                    self._heard(listing, changes)
                 wait_ms = _WATCH_MS
         finally:
             line.close()
 
-    def _heard(self, listing: Listing) -> None:
-        self._version = listing.version
+    def _heard(self, listing: Listing, changes: int) -> None:
+        """Take over an answer to a call that began when so many changes were known.
+
+        Guards against a list that was overtaken: a fetch and a watch run side by side, and the one that began
+        first may end last.  A lower version that nothing overtook is that of a discovery that began anew.
+        """
+        known = self._version
+        if changes != self._changes and known is not None and listing.version < known:
+            listing = Listing(known, False, ())
+        else:
+            self._version = listing.version
+            self._changes += 1
         self._on_list(listing)
 
 
--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -1,136 +1,54 @@
-"""The application's side: its requests come in over HTTP, and each gets one answer."""
+"""The application's side: its connections, their limits, and one answer to each request."""
 
 from __future__ import annotations
 
 import asyncio
-import hashlib
-import re
 import select
-from collections.abc import Callable, Mapping
+import socket
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from enum import Enum, unique
 
 import h11
 
-from magpiemux.interface import Repeat, ServiceClass, Settings
-from micadeck.client import Address, Headers, Message
+from magpiemux.interface import Settings
+from micadeck.client import Address, Headers
+from micadeck.framing import fault_in_head
+from micadeck.incoming import BadRequest, Incoming, read_request
 
 MOST_BODY = 64 << 10
 _BACKLOG = 1_024
-_LINGER_S = 1.0  # how long a client may go on sending what is refused unread, before its connection is cut
+_ACCEPTED_AT_ONCE = 8  # connections, before those that are open get their turn
+_READ_AT_ONCE = 32 << 10
 _HEALTH = b"/_health"
-_READ_AHEAD = 2 * MOST_BODY  # what a client may send beyond the request at hand, before reading pauses
-
-_REQUEST_ID = re.compile(rb"[!-~]{1,128}")
-_TIMEOUT = re.compile(rb"[0-9]{1,5}(\.[0-9]{0,9})?")
-_HINT = re.compile(rb"[0-9]{1,15}")
-_OWN = frozenset(
-    b"host request-id request-class tenant request-timeout client-retry work-hint idempotency-key".split()
-)
-# Headers that concern one connection only, and those that are made anew for the server.
-_NOT_PASSED = frozenset(
-    b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect"
-    b" request-timeout content-length".split()
-)
-_ALWAYS_PASSED = frozenset((b"host", b"request-id", b"idempotency-key"))  # whatever `Connection` says of them
-
-
-class BadRequest(Exception):
-    """What came is not a request of this protocol."""
-
-
-@dataclass(slots=True)
-class Incoming:
-    """A client's request, read and checked."""
-
-    service_class: str
-    tenant: str | None
-    key: int | None
-    remaining_us: int
-    cost_us: int | None
-    client_retry: bool
-    method: bytes
-    target: bytes
-    headers: Headers  # as they go on to a server, but for the time that it has
-    body: bytes
-
-    def message(self, left_us: int) -> Message:
-        """The same request as a server gets it, when the sidecar will wait for so long."""
-        return Message(
-            self.method,
-            self.target,
-            [*self.headers, (b"request-timeout", b"%.3f" % (left_us / 1e6))],
-            self.body,
-        )
 
 
-def read_request(
-    event: h11.Request, body: bytes, settings: Settings, classes: Mapping[str, ServiceClass]
-) -> Incoming:
-    """Check a request; raise BadRequest on what no server must see."""
-    own: dict[bytes, bytes] = {}
-    headers: Headers = []
-    dropped = _NOT_PASSED
-    for name, value in event.headers:
-        if name == b"connection":
-            dropped = dropped | {each.strip().lower() for each in value.split(b",")}
-    for name, value in event.headers:
-        if name in _OWN:
-            if name in own:
-                raise BadRequest(f"{name.decode()} stands twice")
-            own[name] = value
-        if name not in dropped or name in _ALWAYS_PASSED:
-            headers.append((name, value))
-    _header(own, b"host")  # HTTP/1.0 may leave it out; towards servers it may not be
-    kind = classes.get(_header(own, b"request-class").decode("latin-1"))
-    if kind is None:
-        raise BadRequest("request-class is unknown")
-    if not _REQUEST_ID.fullmatch(_header(own, b"request-id")):
-        raise BadRequest("request-id is nonsense")
-    timeout = _header(own, b"request-timeout")
-    remaining_us = round(float(timeout) * 1e6) if _TIMEOUT.fullmatch(timeout) else 0
-    if remaining_us <= 0:
-        raise BadRequest("request-timeout is nonsense")
-    is_get = event.method == b"GET"
-    if (event.method not in (b"GET", b"POST")) or is_get != (kind.repeat is Repeat.SAFE):
-        raise BadRequest("the method is not that of the class")
-    if (b"idempotency-key" in own) != (kind.repeat is Repeat.KEYED) or own.get(b"idempotency-key") == b"":
-        raise BadRequest("idempotency-key does not go with the class")
-    if not event.target.startswith(b"/"):
-        raise BadRequest("the target is no path")
-    hint = own.get(b"work-hint")
-    if hint is not None and not _HINT.fullmatch(hint):
-        raise BadRequest("work-hint is nonsense")
-    if body or not is_get:
-        headers.append((b"content-length", b"%d" % len(body)))
-    tenant = own.get(b"tenant", b"").decode("latin-1")
-    return Incoming(
-        service_class=kind.name,
-        tenant=tenant if any(each.name == tenant for each in settings.tenants) else None,
-        key=_key(event.target),
-        remaining_us=remaining_us,
-        cost_us=int(hint) if hint is not None else None,
-        client_retry=own.get(b"client-retry") == b"1",
-        method=event.method,
-        target=event.target,
-        headers=headers,
-        body=body,
-    )
+@dataclass(frozen=True, slots=True)
+class ClientLimits:
+    """What one client may take of the sidecar; times in seconds."""
 
+    header_timeout_s: float = (
+        2.0  # from the connection, or the first byte of a further request, to its whole head
+    )
+    request_timeout_s: float = 2.6  # and to its last byte
+    idle_timeout_s: float = 15.0  # at rest after an answer
+    linger_s: float = 0.5  # how long a client that was turned away may go on sending before it is cut off
+    sweep_s: float = 0.1  # how often the times are looked at
+    most_bytes: int = 4 << 20  # of requests, read in part or whole, over all connections
 
-def _header(own: Mapping[bytes, bytes], name: bytes) -> bytes:
-    value = own.get(name)
-    if value is None:
-        raise BadRequest(f"{name.decode()} is missing")
-    return value
 
+@unique
+class State(Enum):
+    """What a client's connection is about.  In this order they make room for a new one."""
 
-def _key(target: bytes) -> int | None:
-    """What the request is about, as a number: requests about one thing have the same."""
-    last = target.partition(b"?")[0].rpartition(b"/")[2]
-    return int.from_bytes(hashlib.blake2b(last, digest_size=6).digest(), "big") if last else None
+    ENDING = "ending"  # it has its last answer
+    SILENT = "silent"  # not a byte came yet
+    RESTING = "resting"  # its requests are answered
+    READING = "reading"  # a part of a request came
+    SERVING = "serving"  # an answer is owed; never closed for room
 
 
-class ClientSide(asyncio.Protocol):
+class ClientSide(asyncio.BufferedProtocol):
     """One connection of the application, one request at a time."""
 
     def __init__(self, frontend: Frontend) -> None:
@@ -142,17 +60,25 @@
         self._body = bytearray()
         self._owed: int | None = None  # the open request
         self._is_writing_paused = False
-        self._ended = False  # no more is read from it
+        self.state = State.SILENT
+        self.since = 0.0  # when it came to that state; for a part of a request, when that began
+        self.held = 0  # bytes of the request at hand, and of what came behind it
 
     @property
     def is_idle(self) -> bool:
-        """Whether closing it now loses no request, not even one that lies unread in the socket."""
-        return self._owed is None and self._request is None and not self._ended and not self._poll.poll(0)
+        """Whether closing it now loses nothing, not even a request that lies unread in the socket."""
+        return (
+            self.state in (State.RESTING, State.SILENT)
+            and self._transport is not None
+            and not self._transport.get_write_buffer_size()
+            and not self._http.trailing_data[0]
+            and not self._poll.poll(0)
+        )
 
     @property
-    def is_stalled(self) -> bool:
-        """Whether it holds no more than a part of a request, which nobody has taken yet."""
-        return self._owed is None and not self._ended
+    def has_head(self) -> bool:
+        """Whether the head of the request at hand is whole."""
+        return self._request is not None
 
     # What the sidecar calls
 
@@ -161,7 +87,8 @@
         self._owed = None
         if self._transport is None or self._transport.is_closing():
             return
-        closing = self._frontend.is_draining or self._ended
+        turned_away = self.state is State.ENDING
+        closing = self._frontend.is_draining or turned_away
         if closing:
             headers = [*headers, (b"connection", b"close")]
         if self._request is not None and self._request.method == b"HEAD":
@@ -177,17 +104,18 @@
             self._transport.abort()  # the client ended its side in a way that leaves no room for an answer
             return
         self._transport.write((head or b"") + (rest or b""))
-        if self._ended:
+        if turned_away:
             self._hang_up()
         elif self._http.our_state is h11.DONE and self._http.their_state is h11.DONE and not closing:
             self._http.start_next_cycle()
             self._request = None
             self._body = bytearray()
-            self._frontend.at_rest(self)
+            self._frontend.moved(self, State.RESTING)
             if self._http.trailing_data[0]:
                 # Guards against waiting for data when the next request came in one piece with this one.
+                self._frontend.moved(self, State.READING)
                 asyncio.get_running_loop().call_soon(self._advance)
-            if not self._is_writing_paused:
+            elif not self._is_writing_paused:
                 self._transport.resume_reading()
         else:
             self._transport.close()
@@ -196,6 +124,20 @@
         if self._transport is not None:
             self._transport.close()
 
+    def cut(self) -> None:
+        """Close it whatever is unsent."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def reject(self, status: int, text: str = "") -> None:
+        """Answer what can't be served, then hang up, whatever else came behind it.
+
+        Guards against a client that sends nonsense as fast as it is turned away, and against taking what
+        follows nonsense for a request.
+        """
+        self._frontend.moved(self, State.ENDING)
+        self.answer(status, [], f"{text}\n".encode() if text else b"")
+
     # What the event loop calls
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -204,13 +146,19 @@
         self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
         self._frontend.opened(self)
 
-    def data_received(self, data: bytes) -> None:
-        if self._ended:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._frontend.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        if self.state is State.ENDING:
             return
-        self._http.receive_data(data)
+        if self.state in (State.RESTING, State.SILENT):
+            self._frontend.moved(self, State.READING)
+        self._http.receive_data(bytes(self._frontend.buffer[:nbytes]))
+        self._frontend.holds(self, nbytes)
         self._advance()
-        ahead = len(self._http.trailing_data[0]) if self._owed is not None else 0
-        if ahead > _READ_AHEAD and self._transport is not None:
+        if self._owed is not None and self._transport is not None and self._http.trailing_data[0]:
+            # Guards against a client that sends on and on behind its open request: none of it is due yet.
             self._transport.pause_reading()
 
     def pause_writing(self) -> None:
@@ -220,17 +168,15 @@
 
     def resume_writing(self) -> None:
         self._is_writing_paused = False
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
-            self._advance()
+        self._advance()
 
     def eof_received(self) -> None:
         self._gone()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._gone()
-        self._ended = True
         self._frontend.closed(self)
+        self.state = State.ENDING
 
     # The rest
 
@@ -241,28 +187,39 @@
 
     def _advance(self) -> None:
         """Read on as far as what has come allows."""
-        while self._owed is None and not self._ended and self._transport is not None:
+        while (
+            self._owed is None
+            and self.state is not State.ENDING
+            and self._transport is not None
+            and not self._transport.is_closing()
+        ):
             if self._is_writing_paused:
                 return  # guards against a client that asks on and on, and reads no answer
+            raw = self._http.trailing_data[0] if self._request is None else b""
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as fault:
-                self._reject(fault.error_status_hint)
+                self.reject(fault.error_status_hint)
                 return
             if event is h11.NEED_DATA:
                 if self._http.they_are_waiting_for_100_continue:
                     go_on = self._http.send(h11.InformationalResponse(status_code=100, headers=[]))
                     self._transport.write(go_on or b"")
+                self._transport.resume_reading()
                 return
             if isinstance(event, h11.Request):
                 self._request = event
+                fault_found = fault_in_head(raw)
+                if fault_found is not None:
+                    self.reject(400, fault_found)
+                    return
                 length = next((value for name, value in event.headers if name == b"content-length"), b"0")
                 if int(length) > MOST_BODY:
-                    self._reject(413)
+                    self.reject(413)
             elif isinstance(event, h11.Data):
                 self._body += event.data
                 if len(self._body) > MOST_BODY:
-                    self._reject(413)
+                    self.reject(413)
             elif isinstance(event, h11.EndOfMessage):
                 self._taken()
             else:  # paused, or closed
@@ -270,20 +227,16 @@
 
     def _taken(self) -> None:
         assert self._request is not None
+        self._frontend.moved(self, State.SERVING)
         if self._request.target == _HEALTH:
             self.answer(200, [], b"ready\n")
             return
         try:
             incoming = self._frontend.read(self._request, bytes(self._body))
+            self._body = bytearray()
+            self._owed = self._frontend.arrived(self, incoming)
         except BadRequest as fault:
-            self.answer(400, [], f"{fault}\n".encode())
-            return
-        self._owed = self._frontend.arrived(self, incoming)
-
-    def _reject(self, status: int) -> None:
-        """Answer what can't be read on, then hang up."""
-        self._ended = True
-        self.answer(status, [], b"")
+            self.reject(fault.status, str(fault))
 
     def _hang_up(self) -> None:
         """End our side and let the client finish sending, for a while.
@@ -292,35 +245,55 @@
         client may never see why.
         """
         assert self._transport is not None
+        self._request = None
+        self._body = bytearray()
+        self._http = h11.Connection(h11.SERVER)  # what it held of the request goes
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        asyncio.get_running_loop().call_later(_LINGER_S, self._transport.close)
+        self._transport.resume_reading()  # what still comes is dropped
 
 
 class Frontend:
-    """All connections of the application, `most` of them at rest or at work."""
+    """All connections of the application, never more than `most`."""
 
     def __init__(
         self,
         settings: Settings,
-        most: int,
+        limits: ClientLimits,
         on_arrival: Callable[[ClientSide, Incoming], int | None],
         on_gone: Callable[[int], None],
     ) -> None:
         self._settings = settings
         self._classes = {each.name: each for each in settings.classes}
-        self._most = most
+        self.most = 0  # connections; set by whoever knows how many descriptors there are
+        self._limits = limits
         self.arrived = on_arrival
         self.gone = on_gone
         self.is_draining = False
-        self._connections: dict[ClientSide, None] = {}  # the longest at rest first
+        self.buffer = memoryview(bytearray(_READ_AT_ONCE))  # each read is used up before the next
+        self._by_state: dict[State, dict[ClientSide, None]] = {each: {} for each in State}
+        self._held = 0
         self._server: asyncio.Server | None = None
+        self._sweep: asyncio.TimerHandle | None = None
         self.last_opened = 0.0
 
     async def listen(self, address: Address) -> None:
-        self._server = await asyncio.get_running_loop().create_server(
-            lambda: ClientSide(self), *address, backlog=_BACKLOG, reuse_address=True
-        )
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        listener = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind(address)
+            listener.setblocking(False)
+            # asyncio accepts as many in one go as its backlog says, before any of them is counted: hundreds
+            # that connect at once would take every descriptor.  It is told a few; the kernel's line is long.
+            self._server = await asyncio.get_running_loop().create_server(
+                lambda: ClientSide(self), sock=listener, backlog=_ACCEPTED_AT_ONCE
+            )
+            listener.listen(_BACKLOG)
+        except BaseException:
+            listener.close()
+            raise
+        self._sweep_later()
 
     @property
     def port(self) -> int:
@@ -336,32 +309,94 @@
         self.close_idle()
 
     def close_idle(self) -> None:
-        for each in [each for each in self._connections if each.is_idle]:
+        for each in [each for each in self.connections() if each.is_idle]:
             each.close()
 
     def stop_listening(self) -> None:
         if self._server is not None:
             self._server.close()
+        if self._sweep is not None:
+            self._sweep.cancel()
 
     @property
     def open_connections(self) -> int:
-        return len(self._connections)
+        return sum(len(each) for each in self._by_state.values())
+
+    def connections(self) -> Iterator[ClientSide]:
+        for each in self._by_state.values():
+            yield from each
 
     # What connections report
 
     def opened(self, connection: ClientSide) -> None:
-        self._connections[connection] = None
-        self.last_opened = asyncio.get_running_loop().time()
-        if len(self._connections) > self._most:
-            others = [each for each in self._connections if each is not connection]
-            spare = next((each for each in others if each.is_idle), None)
-            spare = spare or next((each for each in others if each.is_stalled), None)
-            if spare is not None:
-                spare.close()
-
-    def at_rest(self, connection: ClientSide) -> None:
-        self._connections.pop(connection, None)
-        self._connections[connection] = None
+        self.last_opened = connection.since = asyncio.get_running_loop().time()
+        if self.open_connections >= self.most and not self._make_room():
+            connection.state = State.ENDING  # guards the limit on descriptors: there is none to close for it
+            connection.cut()
+            return
+        self._by_state[State.SILENT][connection] = None
+
+    def moved(self, connection: ClientSide, state: State) -> None:
+        before = connection.state
+        if state is before:
+            return
+        self._by_state[before].pop(connection, None)
+        self._by_state[state][connection] = None
+        connection.state = state
+        if (before, state) != (State.SILENT, State.READING):  # its time runs from the connection on
+            connection.since = asyncio.get_running_loop().time()
+        if state in (State.RESTING, State.ENDING):
+            self._let_go(connection)
+
+    def holds(self, connection: ClientSide, more: int) -> None:
+        """Count what is kept in memory for requests; over the limit, the oldest half-sent one goes.
+
+        Guards against many clients that each send a part of a large request, and no more.
+        """
+        connection.held += more
+        self._held += more
+        while self._held > self._limits.most_bytes:
+            oldest = next(iter(self._by_state[State.READING]), None)
+            if oldest is None:
+                return
+            oldest.reject(503)
 
     def closed(self, connection: ClientSide) -> None:
-        self._connections.pop(connection, None)
+        self._by_state[connection.state].pop(connection, None)
+        self._let_go(connection)
+
+    def _let_go(self, connection: ClientSide) -> None:
+        self._held -= connection.held
+        connection.held = 0
+
+    def _make_room(self) -> bool:
+        """Close the connection that is missed least; never one that is owed an answer."""
+        for state in (State.ENDING, State.SILENT, State.RESTING, State.READING):
+            for each in self._by_state[state]:
+                if state is not State.RESTING or each.is_idle:
+                    del self._by_state[state][each]
+                    each.cut()
+                    return True
+        return False
+
+    # Time limits
+
+    def _sweep_later(self) -> None:
+        self._sweep = asyncio.get_running_loop().call_later(self._limits.sweep_s, self._close_overdue)
+
+    def _close_overdue(self) -> None:
+        """Close what has taken too long: every descriptor that a client holds for nothing is another's."""
+        now, limits = asyncio.get_running_loop().time(), self._limits
+        for each in list(self._by_state[State.SILENT]):
+            if now - each.since >= limits.header_timeout_s:
+                each.close()
+        for each in list(self._by_state[State.READING]):
+            allowed = limits.request_timeout_s if each.has_head else limits.header_timeout_s
+            if now - each.since >= allowed:
+                each.reject(408)
+        for state, allowed in ((State.RESTING, limits.idle_timeout_s), (State.ENDING, limits.linger_s)):
+            for each in list(self._by_state[state]):
+                if now - each.since < allowed:
+                    break  # they stand in the order in which they came to rest
+                each.close() if each.is_idle else each.cut()
+        self._sweep_later()
--- /dev/null
+++ b/micadeck/incoming.py
@@ -0,0 +1,129 @@
+"""A client's request: reading what came, and checking it before anything else sees it."""
+
+from __future__ import annotations
+
+import hashlib
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import h11
+
+from magpiemux.interface import Repeat, ServiceClass, Settings
+from micadeck.client import Headers, Message
+
+_REQUEST_ID = re.compile(rb"[!-~]{1,128}")
+_TIMEOUT = re.compile(rb"[0-9]{1,5}(\.[0-9]{0,9})?")
+_HINT = re.compile(rb"[0-9]{1,15}")
+_OWN = frozenset(
+    b"host request-id request-class tenant request-timeout client-retry work-hint idempotency-key".split()
+)
+# Headers that concern one connection only, and those that are made anew for the server.
+_NOT_PASSED = frozenset(
+    b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect"
+    b" request-timeout content-length".split()
+)
+_ALWAYS_PASSED = frozenset((b"host", b"request-id", b"idempotency-key"))  # whatever `Connection` says of them
+
+
+class BadRequest(Exception):
+    """What came is not a request of this protocol."""
+
+    def __init__(self, text: str, status: int = 400) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+@dataclass(slots=True)
+class Incoming:
+    """A client's request, read and checked."""
+
+    service_class: str
+    tenant: str | None
+    key: int | None
+    remaining_us: int
+    cost_us: int | None
+    client_retry: bool
+    ident: bytes
+    method: bytes
+    target: bytes
+    headers: Headers  # as they go on to a server, but for the time that it has
+    body: bytes
+
+    def message(self, left_us: int) -> Message:
+        """The same request as a server gets it, when the sidecar will wait for so long."""
+        return Message(
+            self.method,
+            self.target,
+            [*self.headers, (b"request-timeout", b"%.3f" % (left_us / 1e6))],
+            self.body,
+        )
+
+
+def read_request(
+    event: h11.Request, body: bytes, settings: Settings, classes: Mapping[str, ServiceClass]
+) -> Incoming:
+    """Check a request; raise BadRequest on what no server must see."""
+    own: dict[bytes, bytes] = {}
+    headers: Headers = []
+    dropped = _NOT_PASSED
+    for name, value in event.headers:
+        if name == b"connection":
+            dropped = dropped | {each.strip().lower() for each in value.split(b",")}
+    for name, value in event.headers:
+        if name in _OWN:
+            if name in own:
+                raise BadRequest(f"{name.decode()} stands twice")
+            own[name] = value
+        if name not in dropped or name in _ALWAYS_PASSED:
+            headers.append((name, value))
+    _header(own, b"host")  # HTTP/1.0 may leave it out; towards servers it may not be
+    kind = classes.get(_header(own, b"request-class").decode("latin-1"))
+    if kind is None:
+        raise BadRequest("request-class is unknown")
+    if not _REQUEST_ID.fullmatch(_header(own, b"request-id")):
+        raise BadRequest("request-id is nonsense")
+    timeout = _header(own, b"request-timeout")
+    remaining_us = round(float(timeout) * 1e6) if _TIMEOUT.fullmatch(timeout) else 0
+    if remaining_us <= 0:
+        raise BadRequest("request-timeout is nonsense")
+    is_get = event.method == b"GET"
+    if (event.method not in (b"GET", b"POST")) or is_get != (kind.repeat is Repeat.SAFE):
+        raise BadRequest("the method is not that of the class")
+    if (b"idempotency-key" in own) != (kind.repeat is Repeat.KEYED) or own.get(b"idempotency-key") == b"":
+        raise BadRequest("idempotency-key does not go with the class")
+    if not event.target.startswith(b"/"):
+        raise BadRequest("the target is no path")
+    hint = own.get(b"work-hint")
+    if hint is not None and not _HINT.fullmatch(hint):
+        raise BadRequest("work-hint is nonsense")
+    if body or not is_get:
+        headers.append((b"content-length", b"%d" % len(body)))
+    tenant = own.get(b"tenant", b"").decode("latin-1")
+    return Incoming(
+        service_class=kind.name,
+        tenant=tenant if any(each.name == tenant for each in settings.tenants) else None,
+        key=_key(event.target),
+        # Guards against a client that claims more time than its class has: each open request holds memory.
+        remaining_us=min(remaining_us, kind.deadline_us),
+        cost_us=int(hint) if hint is not None else None,
+        client_retry=own.get(b"client-retry") == b"1",
+        ident=own[b"request-id"],
+        method=event.method,
+        target=event.target,
+        headers=headers,
+        body=body,
+    )
+
+
+def _header(own: Mapping[bytes, bytes], name: bytes) -> bytes:
+    value = own.get(name)
+    if value is None:
+        raise BadRequest(f"{name.decode()} is missing")
+    return value
+
+
+def _key(target: bytes) -> int | None:
+    """What the request is about, as a number: requests about one thing have the same."""
+    last = target.partition(b"?")[0].rpartition(b"/")[2]
+    return int.from_bytes(hashlib.blake2b(last, digest_size=6).digest(), "big") if last else None
--- a/micadeck/peers.py
+++ b/micadeck/peers.py
@@ -21,13 +21,17 @@
         me: int,
         on_message: Callable[[int, bytes], None],
     ) -> None:
-        self._peers = peers
-        self._everyone = everyone
+        self.rename(peers, everyone)
         self._me = me
-        self._numbers = {address: number for number, address in enumerate(peers)}
         self._on_message = on_message
         self._transport: asyncio.DatagramTransport | None = None
 
+    def rename(self, peers: tuple[Address, ...], everyone: Address | None) -> None:
+        """Reach the tier's sidecars at these addresses from now on."""
+        self._peers = peers
+        self._everyone = everyone
+        self._numbers = {address: number for number, address in enumerate(peers)}
+
     async def listen(self, address: Address) -> None:
         await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=address)
 
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 
 from magpiemux import Balancer
 from magpiemux.interface import (
@@ -41,12 +42,15 @@
 from micadeck.client import Headers, Message, Response
 from micadeck.clock import Clock
 from micadeck.config import Config
-from micadeck.frontend import ClientSide, Frontend, Incoming
+from micadeck.frontend import ClientLimits, ClientSide, Frontend
+from micadeck.incoming import BadRequest, Incoming
 from micadeck.peers import Peers
 from micadeck.upstream import Call, Upstream, load_report
 
 _RESERVED = 48  # descriptors for everything but clients and servers
 _FOR_CLIENTS = 0.5  # of the rest
+_REQUESTS_OF_MEMORY = (1 << 20) // 8  # for each MB of the limit: what unanswered requests may take of it
+_ONLY_AT_START = ("name", "listen", "peer_listen", "seed", "settings", "memory_mb")
 _PROBE_WITHIN_US = 1_000_000
 _NEW_FOR_S = 0.4  # how long after SIGTERM new connections may go on coming
 _QUIET_S = 0.05  # and how long none must have come before the listener closes
@@ -71,7 +75,9 @@
 class Sidecar:
     """One sidecar from its start to its end."""
 
-    def __init__(self, config: Config, log: Callable[[str], None]) -> None:
+    def __init__(
+        self, config: Config, log: Callable[[str], None], client_limits: ClientLimits | None = None
+    ) -> None:
         self._config = config
         self._log = log
         self._settings = config.settings
@@ -80,13 +86,13 @@
         self._events: deque[Event] = deque()
         self._is_handling = False
         self._open: dict[int, _Open] = {}
-        self._owed = 0  # requests without their final answer
+        self._owed: set[bytes] = set()  # ids of the requests without their final answer
         self._next_request = 1
         self._stop_by: int | None = None  # when all must be answered, once it drains
-        room = config.sockets - _RESERVED
-        for_clients = int(room * _FOR_CLIENTS)
-        self.frontend = Frontend(config.settings, for_clients, self._arrived, self._gone)
-        self._upstream = Upstream(self._clock, config.settings.limits, room - for_clients)
+        client_limits = client_limits or ClientLimits(most_bytes=config.memory_mb * _REQUESTS_OF_MEMORY)
+        self.frontend = Frontend(config.settings, client_limits, self._arrived, self._gone)
+        self._upstream = Upstream(self._clock, config.settings.limits)
+        self._divide_descriptors(config.sockets)
         self._discovery = discovery.Discovery(
             config.discovery,
             config.known.version,
@@ -115,6 +121,23 @@
         """Requests that are not over: unanswered, or with an attempt still out."""
         return len(self._open)
 
+    def reload(self, config: Config) -> None:
+        """Take over what a new configuration may change in a running sidecar; name what it may not."""
+        before, self._config = self._config, config
+        if config.discovery != before.discovery:
+            self._discovery.move(config.discovery)
+        self._peers.rename(config.peers, config.peers_all)
+        self._divide_descriptors(config.sockets)
+        kept = [key for key in _ONLY_AT_START if getattr(config, key) != getattr(before, key)]
+        self._config = replace(config, **{key: getattr(before, key) for key in kept})
+        waits = f"; only a restart takes up {', '.join(kept)}" if kept else ""
+        self._log(f"reloaded: discovery at {config.discovery[0]}:{config.discovery[1]}{waits}")
+
+    def _divide_descriptors(self, sockets: int) -> None:
+        room = sockets - _RESERVED
+        self.frontend.most = int(room * _FOR_CLIENTS)
+        self._upstream.most = room - self.frontend.most
+
     async def drain(self) -> None:
         """Answer all that was taken and is still coming, then let go of everything."""
         loop = asyncio.get_running_loop()
@@ -177,7 +200,10 @@
 
     def _arrived(self, client: ClientSide, incoming: Incoming) -> int | None:
         most = self._settings.limits.max_open
-        if most is not None and self._owed >= most:
+        if incoming.ident in self._owed:
+            # Guards against a client that takes another's id: servers tell requests apart by it.
+            raise BadRequest("request-id is that of an open request", 409)
+        if most is not None and len(self._owed) >= most:
             client.answer(503, [], b"")
             return None
         now = self._clock.now()
@@ -186,7 +212,7 @@
         number = self._next_request
         self._next_request += 1
         self._open[number] = _Open(client, incoming)
-        self._owed += 1
+        self._owed.add(incoming.ident)
         self._post(
             RequestArrived(
                 request=number,
@@ -316,7 +342,7 @@
         if held is None or held.client is None:
             return None
         client, held.client = held.client, None
-        self._owed -= 1
+        self._owed.discard(held.incoming.ident)
         return client
 
     def _forget_if_over(self, request: int) -> None:
--- a/micadeck/upstream.py
+++ b/micadeck/upstream.py
@@ -54,13 +54,13 @@
 
 
 class Upstream:
-    """All connections to servers, `most` at once."""
+    """All connections to servers, never more than `most`."""
 
-    def __init__(self, clock: Clock, limits: Limits, most: int) -> None:
+    def __init__(self, clock: Clock, limits: Limits) -> None:
         self._clock = clock
         self._dial_within_s = limits.dial_timeout_us / 1e6
         self._use_within_us = int(limits.idle_close_us * (1.0 - _IDLE_MARGIN))
-        self._most = most
+        self.most = 0  # connections; set by whoever knows how many descriptors there are
         self._servers: dict[str, _Server] = {}
         self._owners: dict[ClientConnection, _Server] = {}  # of every open connection
         self._dialling = 0
@@ -195,7 +195,7 @@
 
     def _has_room(self) -> bool:
         """Whether one more connection may be opened, at the price of the one that is idle for longest."""
-        if len(self._owners) + self._dialling < self._most:
+        if len(self._owners) + self._dialling < self.most:
             return True
         oldest = min(
             (server for server in self._servers.values() if server.idle),
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -10,6 +10,7 @@
 from typing import Any, TypeVar
 
 from micadeck.config import parse
+from micadeck.frontend import ClientLimits
 from micadeck.sidecar import Sidecar
 
 HOST = "127.0.0.1"
@@ -242,6 +243,7 @@
     bounds: dict[str, Any] | None = None,
     given: dict[str, Any] | None = None,
     listed: bool = True,
+    client_limits: ClientLimits | None = None,
     **settings: Any,
 ) -> AsyncIterator[Stage]:
     """A sidecar, its discovery and one server for each script, all known to it from the start."""
@@ -269,7 +271,7 @@
         **(given or {}),
     }
     log: list[str] = []
-    sidecar = Sidecar(parse(config), log.append)
+    sidecar = Sidecar(parse(config), log.append, client_limits)
     await sidecar.start()
     scene = Stage(sidecar, discovery, servers, log)
     try:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -102,6 +102,60 @@
     play(work)
 
 
+def test_a_move_asks_the_new_address_for_everything_and_tells_no_failure_of_the_old_one() -> None:
+    async def work() -> None:
+        old, new = ScriptedDiscovery(), ScriptedDiscovery()
+        new.version = 5
+        await old.start()
+        await new.start()
+        ears = Ears(old)
+        ears.discovery.follow(True)
+        assert await ears.next() is not None
+        await until(lambda: len(old.heard) == 2)
+        ears.discovery.move(parse_address(new.address))
+        old.tell(line("s-9", "127.0.0.2:80"))  # nobody hears it any more
+        heard = await ears.next()
+        assert heard is not None and heard.version == 5
+        await until(lambda: old.closed == [0])
+        await until(lambda: len(new.heard) == 2)
+        assert new.heard[0].target == "/catalog/members"
+        assert ears.events.empty()
+        ears.discovery.close()
+        for each in (old, new):
+            each.stop()
+
+    play(work)
+
+
+def test_a_fetch_that_was_overtaken_by_news_changes_nothing() -> None:
+    # Guards against an old list that ends after newer changes: a server told to drain would be ready again.
+    async def work() -> None:
+        release = asyncio.Event()
+
+        async def answer(heard: Heard) -> bytes | None:
+            if "wait_ms=0" in heard.target:
+                return reply(json.dumps({**GOOD, "version": 42}).encode())
+            if "wait_ms" in heard.target:
+                return None
+            await release.wait()
+            return reply(json.dumps({**GOOD, "version": 40}).encode())
+
+        server = await ScriptedServer(answer).start()
+        ears = Ears(server)
+        ears.discovery.fetch()
+        await until(lambda: len(server.heard) == 1)
+        ears.discovery.follow(True)
+        news = await ears.next()
+        assert news is not None and news.version == 42
+        release.set()
+        late = await ears.next()
+        assert late == Listing(42, False, ())
+        ears.discovery.close()
+        server.stop()
+
+    play(work)
+
+
 def test_discovery_that_is_down_fails_a_call() -> None:
     async def work() -> None:
         server = await ScriptedServer(None).start()
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -5,7 +5,9 @@
 import asyncio
 
 import pytest
-from loopback import OK, Heard, play, request, stage, until
+from loopback import OK, Heard, play, request, soon, stage, until
+
+from micadeck.frontend import ClientLimits
 
 
 @pytest.mark.parametrize(
@@ -197,3 +199,182 @@
             assert len(scene.heard) == 1
 
     play(work)
+
+
+SMUGGLED = request("lodge", target="/api/hidden")
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        request("lodge", Content_Length="5", Transfer_Encoding="chunked") + b"0\r\n\r\n" + SMUGGLED,
+        request("lodge", Content_Length="5, 5") + b"12345",
+        request("lodge", Content_Length="5\r\nContent-Length: 5") + b"12345",
+        request("lodge", Content_Length="5\r\nContent-Length: 6") + b"12345",
+        request("lodge", Content_Length="+5") + b"12345",
+        request("lodge", Content_Length="-5") + b"12345",
+        request("lodge", Content_Length="9" * 30) + b"12345",
+        request("lodge", Host="x\r\n folded"),
+        request().replace(b"\r\n", b"\n"),
+        request(Request_Class="odd") + SMUGGLED,
+        b"nonsense\r\n\r\n" + SMUGGLED,
+    ],
+)
+def test_what_can_be_read_in_two_ways_is_turned_away_with_all_that_follows(raw: bytes) -> None:
+    # Guards against a request that hides in another's body, and against serving a client that sends nonsense.
+    async def work() -> None:
+        async with stage(OK) as scene:
+            client = await scene.client()
+            client.send(raw)
+            assert (await client.answer()).status in (400, 413)
+            assert await soon(client.reader.read()) == b""
+            assert scene.heard == []
+
+    play(work)
+
+
+SHORT = ClientLimits(
+    header_timeout_s=0.15, request_timeout_s=0.3, idle_timeout_s=0.15, linger_s=0.05, sweep_s=0.01
+)
+
+
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (b"", None),
+        (request()[:-2], 408),
+        (request("lodge", body=b"half")[:-1], 408),
+        (request("lodge", Content_Length="", Transfer_Encoding="chunked") + b"4\r\nhalf\r\n", 408),
+        (request("lodge", body=b"x" * 70_000)[:-1], 413),
+    ],
+)
+def test_a_client_that_sends_no_whole_request_in_time_is_let_go(raw: bytes, status: int | None) -> None:
+    async def work() -> None:
+        async with stage(OK, client_limits=SHORT) as scene:
+            client = await scene.client()
+            client.send(raw)
+            if status is not None:
+                assert (await client.answer()).status == status
+            assert await soon(client.reader.read()) == b""
+            client.writer.write(b"more of it")  # a client that sends on and on is cut off all the same
+            await until(lambda: scene.sidecar.frontend.open_connections == 0)
+            assert scene.heard == []
+
+    play(work)
+
+
+def test_a_connection_at_rest_is_closed_in_the_end_and_one_that_waits_is_not() -> None:
+    async def work() -> None:
+        release = asyncio.Event()
+
+        async def hold(heard: Heard) -> bytes:
+            if len(scene.heard) == 2:
+                await release.wait()
+            return OK
+
+        async with stage(hold, client_limits=SHORT) as scene:
+            resting, waiting = await scene.client(), await scene.client()
+            assert (await resting.ask("lodge")).status == 200
+            waiting.send(request("lodge"))
+            assert await soon(resting.reader.read()) == b""
+            await asyncio.sleep(2 * SHORT.request_timeout_s)
+            release.set()
+            assert (await waiting.answer()).status == 200
+
+    play(work)
+
+
+def test_hundreds_that_connect_and_say_nothing_leave_room_for_those_that_ask() -> None:
+    # Guards the limit on descriptors, also while many connect at once, and clients that have a request open.
+    async def work() -> None:
+        release = asyncio.Event()
+
+        async def hold(heard: Heard) -> bytes:
+            await release.wait()
+            return OK
+
+        async with stage(hold, given={"limits": {"sockets": 64}}) as scene:
+            waiting = await scene.client()
+            waiting.send(request("lodge"))
+            await until(lambda: len(scene.heard) == 1)
+            most = 0
+            for _ in range(200):
+                await scene.client()
+                most = max(most, scene.sidecar.frontend.open_connections)
+            release.set()
+            assert (await scene.ask("lodge")).status == 200
+            assert (await waiting.answer()).status == 200
+            assert most <= 8
+
+    play(work)
+
+
+def test_when_every_connection_is_owed_an_answer_a_further_one_is_closed() -> None:
+    async def work() -> None:
+        async with stage(None, given={"limits": {"sockets": 64}}) as scene:
+            clients = [await scene.client() for _ in range(8)]
+            for client in clients:
+                client.send(request("lodge", timeout="10"))
+            await until(lambda: scene.sidecar.open_requests == 8)
+            with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+                await scene.ask("lodge")
+            assert scene.sidecar.open_requests == 8
+
+    play(work)
+
+
+def test_what_half_sent_requests_hold_in_memory_is_bounded() -> None:
+    # Guards against many clients that each send most of a body: together they would take all memory.
+    async def work() -> None:
+        async with stage(OK, client_limits=ClientLimits(most_bytes=300_000)) as scene:
+            clients = [await scene.client() for _ in range(6)]
+            for client in clients:
+                client.send(request("lodge", body=b"x" * 65_000)[:-1])
+            assert (await clients[0].answer()).status == 503
+            assert (await scene.ask("lodge")).status == 200
+
+    play(work)
+
+
+def test_what_comes_behind_an_open_request_is_left_in_the_socket() -> None:
+    # Guards against a flood of pipelined requests: none but the first is due, so none is read into memory.
+    async def work() -> None:
+        async with stage(None) as scene:
+            client = await scene.client()
+            client.send(request("lodge") * 1_000)
+            await until(lambda: len(scene.heard) == 1)
+            await asyncio.sleep(0.05)
+            (held,) = scene.sidecar.frontend.connections()
+            assert held.held < 70_000
+
+    play(work)
+
+
+def test_the_id_of_an_open_request_is_not_taken_twice() -> None:
+    async def work() -> None:
+        release = asyncio.Event()
+
+        async def hold(heard: Heard) -> bytes:
+            await release.wait()
+            return OK
+
+        async with stage(hold) as scene:
+            first = await scene.client()
+            first.send(request("lodge", Request_Id="same"))
+            await until(lambda: len(scene.heard) == 1)
+            assert (await scene.ask("lodge", Request_Id="same")).status == 409
+            release.set()
+            assert (await first.answer()).status == 200
+            assert len(scene.heard) == 1
+            assert (await scene.ask("lodge", Request_Id="same")).status == 200
+
+    play(work)
+
+
+def test_no_client_gets_more_time_than_its_class_has() -> None:
+    async def work() -> None:
+        async with stage(OK) as scene:
+            assert (await scene.ask("amend", timeout="99999")).status == 200
+            assert float(scene.heard[0].headers["request-timeout"]) <= 2.0
+
+    play(work)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -88,8 +88,15 @@
 class Program:
     """The running program, with one server behind it."""
 
-    def __init__(self, process: asyncio.subprocess.Process, port: int, server: ScriptedServer) -> None:
-        self.process, self.port, self.server = process, port, server
+    def __init__(
+        self, process: asyncio.subprocess.Process, port: int, server: ScriptedServer, config: Path
+    ) -> None:
+        self.process, self.port, self.server, self.config = process, port, server, config
+
+    async def says(self) -> str:
+        """The next line of its log."""
+        assert self.process.stderr is not None
+        return (await soon(self.process.stderr.readline())).decode()
 
     async def client(self) -> Client:
         return Client(*await asyncio.open_connection(HOST, self.port))
@@ -121,7 +128,7 @@
         ready = (await soon(process.stderr.readline())).decode()
         told = re.search(r"serves on .*:(\d+)", ready)
         assert told is not None, ready
-        yield Program(process, int(told[1]), server)
+        yield Program(process, int(told[1]), server, path)
     finally:
         if process.returncode is None:
             process.kill()
@@ -176,6 +183,34 @@
     play(work)
 
 
+def test_sighup_follows_a_new_discovery_and_an_unusable_file_changes_nothing(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with program(OK, tmp_path) as running:
+            assert (await (await running.client()).ask("lodge")).status == 200
+            other = await ScriptedServer(OK).start()
+            discovery = ScriptedDiscovery()
+            discovery.version = 0  # it counts its own versions, and begins anew
+            discovery.servers = [line("s-2", other.address)]
+            await discovery.start()
+            given = json.loads(running.config.read_text())
+            running.config.write_text("{")
+            running.process.send_signal(signal.SIGHUP)
+            assert "the old configuration stays in force: BALANCER_CONFIG" in await running.says()
+            assert (await (await running.client()).ask("lodge")).status == 200
+            assert len(running.server.heard) == 2
+            running.config.write_text(json.dumps({**given, "discovery": discovery.address, "seed": "1"}))
+            running.process.send_signal(signal.SIGHUP)
+            told = await running.says()
+            assert told == f"reloaded: discovery at {discovery.address}; only a restart takes up seed\n"
+            await until(lambda: len(discovery.heard) >= 2)  # the list, then the watch
+            assert (await (await running.client()).ask("lodge")).status == 200
+            assert len(other.heard) == 1
+            other.stop()
+            discovery.stop()
+
+    play(work)
+
+
 def test_an_address_in_use_is_exit_code_1(tmp_path: Path) -> None:
     async def work() -> None:
         async with program(OK, tmp_path) as running:
