Take handshakes for no load, spoilt answers for no sickness; say when to come back; forget servers that left

Cause, seen with a probe (window, load and outcomes each 0.25 s; raw answers). At a start every connection is new: first answers take 100 to 200 ms, of aims of 180 to 360 ms; Balancer took them for silence (cancels at half an aim, which closes the connection and pays the handshake again) and for load: the window fell from none to 11 with cores reported at 0.1 to 0.4, and refused clients asked again at once, 300 to 800 times a second. Spoilt answers (4 in 100, from all servers alike) were ERROR: two in a row ejected. Ruled out: answers in pieces (all 6,000 came in one), answers in two readings served (both lengths fail in h11), extra bytes served (the connection is closed with them), a held CPU (0.85 of a core allowed, 0.5 used). Also: _servers kept each server ever listed, and _ejected those long gone, which counted against EJECTED_MOST.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -58,6 +58,9 @@
 REMOTE_SPENT = 0.12  # or the typical answer at twice this part of its aim
 EXTRA_PER_REQUEST = 0.2  # further attempts after failures, for each first attempt: no retry storms
 EXTRA_SAVED = 50.0  # first attempts whose allowance may be saved up
+SPOILT_STRIKES = (
+    6  # spoilt answers in a row, none good between, that eject: below that it was the way, not it
+)
 STRIKES = 2  # failures in a row, none answered between, that eject a server
 EJECT_AIMS = 2.0  # first ejection lasts this many of the longest aim; it doubles with each failed trial
 EJECT_AIMS_MOST = 16.0  # and never lasts longer: a server that came back is found again
@@ -67,6 +70,7 @@
 SHY_AIMS_MOST = 4.0  # and for twice as long at each further one in a row, up to this
 PATIENCE = 2.5  # usual times (at this server's pace) after which an attempt is overdue
 PATIENCE_AIMS = 0.1  # but never less than this part of the aim: short times are all jitter
+GREETING_AIMS = 0.5  # or this on a new connection, which begins with a handshake
 QUIET_PEERS = 4  # answers from others, since the overdue attempt left, that make its server's silence its own
 SILENCE = 2.0  # overdue again by this factor, an unanswering server is taken for silent
 SILENT_AIMS = 0.5  # but never before this part of the aim
@@ -103,6 +107,7 @@
 WINDOW_AIMS = 0.5  # at twice the level the window shrinks e-fold in this many of the longest aim
 MIX_AIMS = 4.0  # what is asked by class and tenant is averaged over this many of the longest aim
 FREE = 0.5  # up to this part of the window all are let in, and the window does not grow
+RETRY_AIMS = 0.15  # a refused client is told to come back in about this part of its aim
 STEEP = 4.0  # pressure at a full window: of the typical requests one in fifty is let in
 SLANT = 2.0  # the least worthy feel this many times the pressure, the most worthy almost none
 
@@ -124,11 +129,13 @@
         "idle_since",
         "in_flight",
         "last_answer_at",
+        "lines",
         "name",
         "nominal",
         "pace",
         "place",
         "shy",
+        "spoilt",
         "started_at",
         "state",
         "strikes",
@@ -150,10 +157,12 @@
         self.allowance_at = 0
         self.in_flight = 0
         self.ghosts: list[int] = []  # when each attempt given up on stops counting
+        self.lines = 0  # connections that are open, as far as attempts tell
         self.idle_since: int | None = None  # when a connection was last used; None: there is none to reuse
         self.last_answer_at = -1
         self.shy: dict[str, Shy] = {}  # by class that it was full for
         self.strikes = 0
+        self.spoilt = 0  # spoilt answers in a row
         self.ejections = 0
         self.ejected_until: int | None = None  # None: not ejected
         self.trial: Attempt | None = None  # the single attempt that may bring it back
@@ -175,6 +184,7 @@
     __slots__ = (
         "answers_before",
         "felt",
+        "greets",
         "idled",
         "index",
         "may_have_run",
@@ -195,6 +205,7 @@
         self.started = False
         self.idled = 0  # how long its connection had gone unused; 0: it was new or in steady use
         self.suspect = False  # whether its silence was already learnt from
+        self.greets = False  # whether it is the first on its connection, and pays for the handshake
         self.felt = False  # whether its lateness was counted as a sign of overload
 
     @property
@@ -240,7 +251,7 @@
         self._longest_aim = max(each.aim_us for each in settings.classes)
         self._now = 0
         self._actions: list[Action] = []
-        self._servers: dict[str, Server] = {}  # every server ever listed
+        self._servers: dict[str, Server] = {}  # those listed, and those left with an attempt still out
         self._ready: list[Server] = []
         self._requests: dict[int, Request] = {}
         # Of each entry: due, order, request (or _ASK), attempt (or _WHOLE).
@@ -345,6 +356,8 @@
                     self._state_heard(server, ServerState.GONE)
         for line in event.servers:
             self._server_listed(line)
+        for server in [each for each in self._servers.values() if each.state is ServerState.GONE]:
+            self._forget_if_gone(server)
         self._ready = [each for each in self._servers.values() if each.state is ServerState.READY]
         self._ready.sort(key=lambda each: each.place)
         far = sum(each.zone != self._settings.zone for each in self._ready)
@@ -366,10 +379,23 @@
         self._state_heard(server, line.state)
         if line.started_at is not None and line.started_at != server.started_at:
             server.started_at = line.started_at
+            server.lines = server.in_flight  # those to the process before are closed
             self._turned_cold(server, line.started_at)
             if server.ejected_until is not None and line.state is ServerState.READY:
                 self._readmit(server)  # a new process: what the old one did is history
 
+    def _forget_if_gone(self, server: Server) -> None:
+        """Keep nothing of a server that left, once its last attempt has ended.
+
+        Guards against growth where servers are replaced all day, and against ejected ones that are long gone
+        counting as a part of the list.  One that comes back tells its start time, and is cold by that.
+        """
+        if server.state is ServerState.GONE and server.in_flight == 0:
+            if self._servers.get(server.name) is server:
+                del self._servers[server.name]
+            if server in self._ejected:
+                self._ejected.remove(server)
+
     def _state_heard(self, server: Server, state: ServerState) -> None:
         heard, server.state = server.state is not state, state
         if heard:
@@ -381,7 +407,11 @@
         On hearing of it, and again whenever an attempt still out there ends and leaves its connection idle.
         """
         if self._settings.rules.close_idle_within_us is not None and server.state is not ServerState.READY:
-            self._actions.append(CloseIdle(server.name))
+            self._close_idle(server)
+
+    def _close_idle(self, server: Server) -> None:
+        server.lines = server.in_flight
+        self._actions.append(CloseIdle(server.name))
 
     # -----------------------------------------------------------------------------------------------
     # Requests
@@ -725,11 +755,13 @@
         attempt.idled = self._idle_time(server)
         request.attempts.append(attempt)
         server.in_flight += 1
+        attempt.greets = server.in_flight > server.lines
+        server.lines = max(server.lines, server.in_flight)
         self._pending += 1
         if server.ejected_until is not None:
             server.trial = attempt
             self._stuck += 1
-        self._schedule(self._now + self._patience(request, server), request.ident, attempt.index)
+        self._schedule(self._now + self._patience(request, attempt), request.ident, attempt.index)
         self._actions.append(Send(request.ident, server.name, request.answer_by))
         return True
 
@@ -765,9 +797,23 @@
         harmless = request.kind.repeat is Repeat.SAFE or not any(a.may_have_run for a in request.attempts)
         if request.kind.repeat is Repeat.KEYED and request.kind.group is Group.ALL:
             harmless = True
-        self._actions.append(Refuse(request.ident) if harmless else Fail(request.ident))
+        self._actions.append(
+            Refuse(request.ident, self._come_back_in(request)) if harmless else Fail(request.ident)
+        )
         self._close(request)
 
+    def _come_back_in(self, request: Request) -> int:
+        """When a refused client may as well ask again; by chance, so that not all come back together.
+
+        Guards against storms: clients that ask again at once are refused again, and their requests take the
+        time in which others could be served.  Later than within its aim, an answer is worth little.
+        """
+        limits = self._settings.limits
+        if not limits.retry_after:
+            return 0
+        wait = RETRY_AIMS * request.kind.aim_us * (0.5 + self._random.random())
+        return min(int(wait), limits.max_retry_after_us)
+
     def _close(self, request: Request) -> None:
         """Nothing is owed any more; attempts still out are called off where that is permitted."""
         request.answered = True
@@ -794,6 +840,8 @@
         attempt.may_have_run = not self._settings.rules.never_ran(event.outcome)
         attempt.server.in_flight -= 1
         self._pending -= 1
+        if event.outcome not in (Outcome.DELIVERED, Outcome.FULL, Outcome.REJECTED):
+            attempt.server.lines = max(attempt.server.lines - 1, attempt.server.in_flight)
         if attempt.server.ejected_until is not None:
             self._stuck -= 1
         self._close_if_leaving(attempt.server)
@@ -816,12 +864,20 @@
         if event.outcome is Outcome.DELIVERED:
             attempt.server.shy.pop(request.kind.name, None)
             self._served_aims.add(self._now, request.kind.aim_us)
-            self._time(attempt.server, request, event.elapsed_us)
-            if not attempt.felt:
-                self._feel(event.elapsed_us / request.kind.aim_us)
+            # Guards against taking handshakes for load: after a start, or when servers are replaced, most
+            # connections are new, and each first answer comes as late as an overloaded server's.  What is
+            # late even so does count.
+            spent = event.elapsed_us / request.kind.aim_us - GREETING_AIMS * attempt.greets
+            if not attempt.greets:
+                self._time(attempt.server, request, event.elapsed_us)
+            if not attempt.felt and (not attempt.greets or spent > self._spent):
+                self._feel(spent)
         if event.answered:
             if not request.answered:
                 self._close(request)
+        elif event.outcome is Outcome.REJECTED and not request.answered:
+            self._actions.append(Fail(request.ident))  # the next server would find the same fault
+            self._close(request)
         elif not request.answered:
             request.tried.append(attempt.server)
             full = event.outcome is Outcome.FULL
@@ -834,6 +890,7 @@
             if full and request.answered:
                 self._feel(LOST_SPENT)  # no redraw found room: the fleet is full, not one server
         self._forget_if_over(request)
+        self._forget_if_gone(attempt.server)
 
     # -----------------------------------------------------------------------------------------------
     # Pace: how long a server takes, relative to the usual for such requests
@@ -855,9 +912,10 @@
     # -----------------------------------------------------------------------------------------------
     # Overdue attempts: silent servers are left, and repeatable requests saved
 
-    def _patience(self, request: Request, server: Server) -> int:
-        usual = PATIENCE * self._usual(request) * max(server.pace, 1.0)
-        return int(max(usual, PATIENCE_AIMS * request.kind.aim_us, self._settings.tick_us))
+    def _patience(self, request: Request, attempt: Attempt) -> int:
+        usual = PATIENCE * self._usual(request) * max(attempt.server.pace, 1.0)
+        least = GREETING_AIMS if attempt.greets else PATIENCE_AIMS
+        return int(max(usual, least * request.kind.aim_us, self._settings.tick_us))
 
     def _overdue(self, request: Request, attempt: Attempt) -> None:
         """An attempt takes far longer than usual.
@@ -868,15 +926,16 @@
         server = attempt.server
         silent = server.last_answer_at <= attempt.sent_at
         waited = self._now - attempt.sent_at
-        if waited < request.kind.aim_us:
-            self._schedule(attempt.sent_at + request.kind.aim_us, request.ident, attempt.index)
+        late = int(request.kind.aim_us * (1.0 + GREETING_AIMS * attempt.greets))
+        if waited < late:
+            self._schedule(attempt.sent_at + late, request.ident, attempt.index)
         elif not attempt.felt and server.ejected_until is None and not attempt.blames_idle:
             # Late already, though no answer says so yet: waiting for one would see a surge too late.
             attempt.felt = True
             if self._cores is not None:
                 self._follow_cores(1.0)  # no answer, no report: reports alone flatter
             self._feel(LOST_SPENT)
-        enough = max(SILENCE * self._patience(request, server), SILENT_AIMS * request.kind.aim_us)
+        enough = max(SILENCE * self._patience(request, attempt), SILENT_AIMS * request.kind.aim_us)
         if silent and waited < enough:
             self._schedule(attempt.sent_at + int(enough), request.ident, attempt.index)
         elif (
@@ -910,7 +969,7 @@
         if idle < IDLE_LEAST * self._longest_aim or idle >= self._settings.limits.idle_close_us:
             return 0
         if self._stale_odds() >= STALE_ODDS and 2 * idle >= self._stale_idle:
-            self._actions.append(CloseIdle(server.name))
+            self._close_idle(server)
             return 0
         return idle
 
@@ -931,7 +990,7 @@
         if odds < STALE_ODDS or attempt.idled < self._stale_idle:
             self._stale_idle = attempt.idled
         self._stale = odds + STALE_STEP * (1.0 - odds)
-        self._actions.append(CloseIdle(attempt.server.name))
+        self._close_idle(attempt.server)
         attempt.server.idle_since = None
         return True
 
@@ -951,8 +1010,8 @@
         trial = server.trial is attempt
         if trial:
             server.trial = None
-        if outcome is Outcome.DELIVERED:
-            server.strikes = 0
+        if outcome in (Outcome.DELIVERED, Outcome.REJECTED):
+            server.strikes = server.spoilt = 0
             server.last_answer_at = self._now
             self._answered_on_idle(attempt)
             self._answers += 1
@@ -960,6 +1019,12 @@
                 self._served_warm.add(self._now, 1.0)
             if server.ejected_until is not None:
                 self._readmit(server)
+        elif outcome is Outcome.SPOILT:
+            # Guards against ejecting servers for what comes spoilt from all of them alike.
+            server.spoilt += 1
+            server.last_answer_at = self._now
+            if trial or (server.spoilt >= SPOILT_STRIKES and server.ejected_until is None):
+                self._eject(server, outcome.value)
         elif outcome in (Outcome.EXPIRED, Outcome.DROPPED, Outcome.DIAL_FAILED, Outcome.ERROR):
             if outcome is Outcome.EXPIRED and server.last_answer_at > attempt.sent_at:
                 return  # it is slow, not sick: it answered others meanwhile
--- a/magpiemux/interface.py
+++ b/magpiemux/interface.py
@@ -102,6 +102,8 @@
     DROPPED = "dropped"
     CANCELLED = "cancelled"
     UNSENT = "unsent"
+    SPOILT = "spoilt"  # an answer came that can't be used; nothing is said of the server's health
+    REJECTED = "rejected"  # the server is well and found fault with the request
 
 
 # ---------------------------------------------------------------------------------------------------
--- a/micadeck/upstream.py
+++ b/micadeck/upstream.py
@@ -251,11 +251,15 @@
         return Outcome.DIAL_FAILED
     if how is Failure.BROKEN:
         return Outcome.DROPPED
+    if how is Failure.SPOILT:
+        return Outcome.SPOILT
     if isinstance(how, Response):
         if how.status == 200:
             return Outcome.DELIVERED
         if how.status in (503, 504) and how.header(b"not-started") == b"1":
             return Outcome.FULL
+        if 400 <= how.status < 500:
+            return Outcome.REJECTED
     return Outcome.ERROR
 
 
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,111 @@
+"""What a long life in service asks of the decisions: little kept, and no server blamed unjustly."""
+
+from __future__ import annotations
+
+from helpers import MS, S, Stage, names, settings
+
+from magpiemux.interface import Fail, ListedServer, ListKind, Log, Outcome, Refuse, Repeat, ServerState
+
+
+def _ejected(stage: Stage) -> list[str]:
+    return [each.text for each in stage.said(Log) if each.text.startswith("ejected")]
+
+
+def test_nothing_is_kept_of_servers_that_were_replaced() -> None:
+    # Guards against growth: every id is new, and all servers are replaced over and over.
+    stage = Stage(settings(limits={"second_copies": False}))
+    for round_ in range(200):
+        stage.servers([f"{name}-{round_}" for name in names(5)])
+        for _ in range(5):
+            request = stage.request()
+            stage.wait(20 * MS)
+            while request in stage.balancer._requests:
+                stage.end(request, Outcome.DELIVERED if round_ % 7 else Outcome.DROPPED)
+    stage.wait(20 * S)
+    balancer = stage.balancer
+    assert len(balancer._servers) == 5
+    assert len(balancer._requests) == len(balancer._ghosts) == 0
+    assert len(balancer._agenda) <= 2
+    assert all(each.state is ServerState.READY for each in balancer._ejected)
+
+
+def test_a_server_that_left_is_kept_until_its_last_attempt_has_ended() -> None:
+    stage = Stage()
+    stage.servers(names(1))
+    request = stage.request("pay")
+    (server,) = names(1)
+    stage.servers([ListedServer(server, state=ServerState.GONE)], ListKind.CHANGES)
+    assert server in stage.balancer._servers
+    stage.end(request)
+    assert stage.balancer._servers == {}
+    assert stage.balancer._load() == 0
+
+
+def test_spoilt_answers_eject_nobody_until_they_are_all_that_a_server_gives() -> None:
+    # Guards against ejecting half the fleet for noise on the way that meets any server alike.
+    stage = Stage()
+    stage.servers(names(4))
+    for number in range(60):
+        request = stage.request("pay")
+        stage.wait(20 * MS)
+        stage.end(request, Outcome.DELIVERED if number % 3 else Outcome.SPOILT)
+    assert _ejected(stage) == []
+    for _ in range(60):
+        request = stage.request("pay")
+        stage.wait(20 * MS)
+        stage.end(request, Outcome.SPOILT)
+    assert any(each.endswith("spoilt") for each in _ejected(stage))
+
+
+def test_a_spoilt_answer_may_have_run() -> None:
+    stage = Stage()
+    stage.servers(names(4))
+    for kind in ("look", "pay"):
+        request = stage.request(kind)
+        stage.end(request, Outcome.SPOILT)
+        again = len(stage.sends(request)) == 2
+        assert again == (stage.balancer._classes[kind].repeat is Repeat.SAFE)
+    assert len(stage.said(Fail)) == 1
+
+
+def test_a_request_that_a_server_finds_fault_with_fails_at_once_and_is_held_against_nobody() -> None:
+    stage = Stage()
+    stage.servers(names(4))
+    for _ in range(20):
+        request = stage.request()
+        stage.end(request, Outcome.REJECTED)
+        assert len(stage.sends(request)) == 1
+    assert len(stage.said(Fail)) == 20
+    assert _ejected(stage) == []
+
+
+def test_handshakes_are_not_taken_for_overload_or_silence() -> None:
+    # Guards the first second after a start: every connection is new, and its first answer comes late.
+    def refused(every_answer_us: int, first_answer_us: int) -> int:
+        stage = Stage()
+        stage.servers(names(12))
+        for round_ in range(8):
+            requests = [stage.request("pay") for _ in range(24)]
+            stage.wait(first_answer_us if round_ == 0 else every_answer_us)
+            for request in requests:
+                if request in stage.balancer._requests:
+                    stage.end(request)
+        assert not any("silent" in each for each in _ejected(stage))
+        return len(stage.said(Refuse))
+
+    assert refused(30 * MS, 240 * MS) == 0
+    assert refused(700 * MS, 700 * MS) > 10
+
+
+def test_a_refused_client_is_told_when_to_come_back_within_its_aim() -> None:
+    for allowed, most in ((True, 2 * S), (True, 20 * MS), (False, 2 * S)):
+        stage = Stage(settings(limits={"retry_after": allowed, "max_retry_after_us": most}))
+        stage.servers([])
+        for _ in range(20):
+            stage.request()
+        advice = [each.retry_after_us for each in stage.said(Refuse)]
+        assert len(advice) == 20
+        if allowed:
+            assert all(0 < each <= min(most, 250 * MS) for each in advice)
+        else:
+            assert not any(advice)
