Hold no server for cold because connections break; notice spoilt answers at once

Balancer._judge called a server cold for each such ejection, whatever the list said, so within seconds most of the fleet had a cold budget and the rest was refused. Mend: two strikes become three for broken connections; cold only when a trial can't connect. client.py: an answer announced as too large, framed twice, or by nothing but the connection's end, nine 1xx, or one that is begun and not whole within 0.25 s fails at once (6,000 real answers: each came in one piece). frontend.py: a client that has just connected is closed for room after those that rest (48 of the usual clients' first connections went unserved); rest ends after 5 s.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -61,6 +61,7 @@
 SPOILT_STRIKES = (
     6  # spoilt answers in a row, none good between, that eject: below that it was the way, not it
 )
+STRIKES_DROPPED = 3  # or so many that end in a broken connection, which may be the way's fault
 STRIKES = 2  # failures in a row, none answered between, that eject a server
 EJECT_AIMS = 2.0  # first ejection lasts this many of the longest aim; it doubles with each failed trial
 EJECT_AIMS_MOST = 16.0  # and never lasts longer: a server that came back is found again
@@ -1031,10 +1032,13 @@
             if outcome in (Outcome.EXPIRED, Outcome.DROPPED) and self._silent_on_idle(attempt) and not trial:
                 return
             server.strikes += 1
-            if trial or (server.strikes >= STRIKES and server.ejected_until is None):
+            enough = STRIKES_DROPPED if outcome is Outcome.DROPPED else STRIKES
+            if trial or (server.strikes >= enough and server.ejected_until is None):
                 self._eject(server, outcome.value)
-                if outcome in (Outcome.DIAL_FAILED, Outcome.DROPPED):
-                    self._turned_cold(server, self._now)  # its process may come back before the list says so
+                if trial and outcome is Outcome.DIAL_FAILED:
+                    # It is down for good, and may come back before the list says so.  Connections that break
+                    # say less: the way may do that, and a fleet held for cold has no room for anyone.
+                    self._turned_cold(server, self._now)
 
     def _eject(self, server: Server, reason: str, most: float = EJECTED_MOST) -> None:
         if server.ejected_until is None:
--- a/micadeck/client.py
+++ b/micadeck/client.py
@@ -15,6 +15,11 @@
 
 import h11
 
+from micadeck.framing import fault_in_head
+
+_MOST_INTERIM = 8  # 1xx answers ahead of the one that counts
+_ANSWER_TIMEOUT_S = 0.25  # from an answer's first byte to its last: whole ones come in one piece
+
 Address = tuple[str, int]
 Headers = list[tuple[bytes, bytes]]
 
@@ -76,10 +81,14 @@
         most_bytes: int,
         on_free: Callable[[ClientConnection], None],
         on_closed: Callable[[ClientConnection], None],
+        answer_timeout_s: float = _ANSWER_TIMEOUT_S,
     ) -> None:
         self._most_bytes = most_bytes
         self._on_free = on_free
         self._on_closed = on_closed
+        self._answer_timeout_s = answer_timeout_s
+        self._answer_timer: asyncio.TimerHandle | None = None  # runs while a part of an answer is there
+        self._interim = 0
         self._transport: asyncio.Transport | None = None
         self._poll = select.poll()
         self._http = h11.Connection(h11.CLIENT)
@@ -106,6 +115,7 @@
         assert self._transport is not None and self._ended is None
         self._ended = ended
         self._head = None
+        self._interim = 0
         self._body = bytearray()
         send = self._http.send
         head = send(h11.Request(method=message.method, target=message.target, headers=message.headers))
@@ -123,6 +133,7 @@
         attempt would be a second copy beside this one.
         """
         self._ended = None
+        self._stop_timer()
         if self._transport is not None and not self._closed:
             try:
                 self._transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
@@ -165,11 +176,26 @@
         try:
             self._http.receive_data(data)
             while True:
+                raw = self._http.trailing_data[0] if self._head is None else b""
                 event = self._http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
+                    if self._answer_timer is None and (self._head or self._http.trailing_data[0]):
+                        # Guards against an answer that was begun and never ends: it would hold its request
+                        # until the deadline, too late to try another server.  A 1xx ahead begins nothing.
+                        self._answer_timer = asyncio.get_running_loop().call_later(
+                            self._answer_timeout_s, self._fail, Failure.SPOILT
+                        )
                     return
-                if isinstance(event, h11.Response):
+                if isinstance(event, h11.InformationalResponse):
+                    self._interim += 1
+                    if self._interim > _MOST_INTERIM:
+                        self._fail(Failure.SPOILT)
+                        return
+                elif isinstance(event, h11.Response):
                     self._head = event
+                    if fault_in_head(raw) is not None or not self._is_bounded(event):
+                        self._fail(Failure.SPOILT)
+                        return
                 elif isinstance(event, h11.Data):
                     self._body += event.data
                     if len(self._body) > self._most_bytes:
@@ -184,10 +210,29 @@
             if data:  # without, it is the end that came too early
                 self._fail(Failure.SPOILT)
 
+    def _is_bounded(self, head: h11.Response) -> bool:
+        """Whether the head tells where the answer ends, and that it is not too large.
+
+        Guards against waiting for what will be thrown away, and against taking an answer that broke off for
+        a whole one: where nothing but the connection's end frames it, nobody can tell.
+        """
+        for name, value in head.headers:
+            if name == b"content-length":
+                return int(value) <= self._most_bytes
+            if name == b"transfer-encoding":
+                return True
+        return head.status_code in (204, 304)
+
+    def _stop_timer(self) -> None:
+        if self._answer_timer is not None:
+            self._answer_timer.cancel()
+            self._answer_timer = None
+
     def _answered(self) -> None:
         assert self._head is not None
         response = Response(self._head.status_code, list(self._head.headers), bytes(self._body))
         self._body = bytearray()
+        self._stop_timer()
         ended, self._ended = self._ended, None
         reusable = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
         if reusable and not self._unwritten and not self._http.trailing_data[0]:
--- a/micadeck/discovery.py
+++ b/micadeck/discovery.py
@@ -284,7 +284,7 @@
 
     async def _dial(self) -> ClientConnection:
         def made() -> ClientConnection:
-            return ClientConnection(_MOST_BYTES, _ignore, _ignore)
+            return ClientConnection(_MOST_BYTES, _ignore, _ignore, _ANSWER_WITHIN_S)
 
         async with asyncio.timeout(_DIAL_WITHIN_S):
             _, connection = await asyncio.get_running_loop().create_connection(made, *self._address)
--- a/micadeck/frontend.py
+++ b/micadeck/frontend.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import Enum, unique
+from itertools import chain, islice
 
 import h11
 
@@ -31,7 +32,8 @@
         2.0  # from the connection, or the first byte of a further request, to its whole head
     )
     request_timeout_s: float = 2.6  # and to its last byte
-    idle_timeout_s: float = 15.0  # at rest after an answer
+    idle_timeout_s: float = 5.0  # at rest after an answer
+    greeting_s: float = 0.25  # how long one that connected is spared before its silence counts against it
     linger_s: float = 0.5  # how long a client that was turned away may go on sending before it is cut off
     sweep_s: float = 0.1  # how often the times are looked at
     most_bytes: int = 4 << 20  # of requests, read in part or whole, over all connections
@@ -39,7 +41,7 @@
 
 @unique
 class State(Enum):
-    """What a client's connection is about.  In this order they make room for a new one."""
+    """What a client's connection is about."""
 
     ENDING = "ending"  # it has its last answer
     SILENT = "silent"  # not a byte came yet
@@ -371,13 +373,24 @@
 
     def _make_room(self) -> bool:
         """Close the connection that is missed least; never one that is owed an answer."""
-        for state in (State.ENDING, State.SILENT, State.RESTING, State.READING):
-            for each in self._by_state[state]:
-                if state is not State.RESTING or each.is_idle:
-                    del self._by_state[state][each]
-                    each.cut()
-                    return True
-        return False
+        silent_since = asyncio.get_running_loop().time() - self._limits.greeting_s
+        spare = next(
+            chain(
+                self._by_state[State.ENDING],
+                # Guards against closing a client that has just connected, its request on the way, while
+                # others rest: it would be left without an answer.
+                (each for each in islice(self._by_state[State.SILENT], 1) if each.since <= silent_since),
+                (each for each in self._by_state[State.RESTING] if each.is_idle),
+                self._by_state[State.SILENT],
+                self._by_state[State.READING],
+            ),
+            None,
+        )
+        if spare is None:
+            return False
+        self._by_state[spare.state].pop(spare)
+        spare.cut()
+        return True
 
     # Time limits
 
--- a/micadeck/upstream.py
+++ b/micadeck/upstream.py
@@ -14,6 +14,7 @@
 
 MOST_BODY = 64 << 10
 _IDLE_MARGIN = 0.1  # of the idle limit: a connection this near to it may be closed at the far end by now
+_LARGEST_FIGURE = 1e9  # of a load report; what is larger is nonsense
 # What says that this machine, not the server, had no room for a connection.
 _OWN_FAULTS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
@@ -280,6 +281,6 @@
                 value = float(figure)
             except ValueError:
                 continue
-            if value - value == 0.0:  # finite
+            if 0.0 <= value <= _LARGEST_FIGURE:  # and a number
                 report[name.strip()] = value
     return report or None
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -50,14 +50,64 @@
     play(work)
 
 
-def test_an_answer_that_its_end_frames_is_whole() -> None:
+HEAD = b"HTTP/1.1 200 OK\r\n"
+
+
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        HEAD + b"\r\nserved",  # no end but the connection's: it may have broken off
+        HEAD + b"Content-Length: 3000000000\r\n\r\n" + b"x" * 1_000,
+        HEAD + b"Content-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\nserved",
+        HEAD + b"Content-Length: 6\r\nContent-Length: 6\r\n\r\nserved",
+        HEAD + b"Content-Length: 6, 6\r\n\r\nserved",
+        HEAD + b"Content-Length: -6\r\n\r\nserved",
+        HEAD + b"Content-Length: 9\r\n\r\nserved",
+        HEAD + b"X-Pad: never ends\r\n",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n6\r\nserved\r\n",
+        b"HTTP/1.1 103 Early\r\n\r\n" * 50,
+        b"HTTP/1.1 OK 200\r\nContent-Length: 6\r\n\r\nserved",
+        b"HTT",
+    ],
+)
+def test_a_spoilt_answer_fails_soon_and_a_repeatable_request_is_sent_elsewhere(spoilt: bytes) -> None:
+    # Guards against waiting for the deadline on a connection that stays open, and against serving a guess.
     async def work() -> None:
-        async def until_eof(heard: Heard) -> None:
-            heard.writer.write(b"HTTP/1.1 200 OK\r\n\r\nserved")
-            heard.writer.close()
+        async def once(heard: Heard) -> bytes:
+            return spoilt if len(scene.heard) == 1 else OK
+
+        async with stage(once, once) as scene:
+            answer = await scene.ask("check", timeout="3.0")
+            assert (answer.status, answer.body) == (200, b"served")
+            first, second = scene.heard
+            assert float(second.headers["request-timeout"]) > 1.5
+            assert (await scene.ask("lodge")).status == 200
+            await until(lambda: sum(len(each.closed) for each in scene.servers) == 1)  # of no further use
+            assert first.target == second.target
+
+    play(work)
 
-        async with stage(until_eof) as scene:
-            assert (await scene.ask("lodge")).body == b"served"
+
+@pytest.mark.parametrize("late", [False, True])
+def test_a_connection_that_brought_more_than_its_answer_is_not_used_again(late: bool) -> None:
+    # Guards against a second copy of an answer that the next request would be served with.
+    async def work() -> None:
+        async def twice(heard: Heard) -> bytes:
+            body = heard.target.rpartition("/")[2].encode()
+            answer = HEAD + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+            if late:
+                heard.writer.write(answer)
+                await heard.writer.drain()
+                await asyncio.sleep(0.02)
+                return answer
+            return answer + answer
+
+        async with stage(twice) as scene:
+            client = await scene.client()
+            for number in range(10, 15):
+                assert (await client.ask("lodge", target=f"/api/{number}")).body == b"%d" % number
+                await until(lambda count=number - 9: len(scene.servers[0].closed) == count)  # type: ignore[misc]
+            assert scene.servers[0].connections == 5
 
     play(work)
 
@@ -245,5 +295,6 @@
 
     assert read(b"TEXT qps=7, util=0.61, queue=2") == {"qps": 7.0, "util": 0.61}
     assert read(b"TEXT util=nan, qps=inf") is None
+    assert read(b"TEXT util=-0.5, qps=1e300") is None
     assert read(b"\xff=,,=;util") is None
     assert load_report(Response(200, [], b""), ("qps",)) is None
