Take Consul into the daemon beside the roster, and make a change cost what changed

The decision module takes a changed server out of its sorted list and in again, and keeps the far part and the mean size as running sums; so does its count of warm servers. Consul's answers are read entry by entry: bytes that were seen before mean what they meant, only new ones are parsed, in slices. Sources puts the roster and any number of services into one source for the engine, named by the key "consul"; SIGHUP takes its file up. The configuration is read by msgspec, the commands by click and rich, under one entry point.

What a source dropped counts as drained there for a minute, whoever else lists it: a source that lags could bring it back before.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import bisect
 import heapq
 import math
 import random
@@ -253,7 +254,9 @@
         self._now = 0
         self._actions: list[Action] = []
         self._servers: dict[str, Server] = {}  # those listed, and those left with an attempt still out
-        self._ready: list[Server] = []
+        self._ready: list[Server] = []  # by place
+        self._ready_far = 0  # of these, in other zones
+        self._ready_size = 0.0  # and the sum of their nominal sizes
         self._requests: dict[int, Request] = {}
         # Of each entry: due, order, request (or _ASK), attempt (or _WHOLE).
         self._agenda: list[tuple[int, int, int, int]] = []
@@ -274,6 +277,7 @@
         self._far_part = 0.0  # part of the ready servers that are in other zones
         self._bearable = 0.0  # what a warm server of mean size serves for this balancer, as of _bearable_at
         self._mean_size = 1.0
+        self._cold: dict[str, Server] = {}  # those that turned cold, until it is seen that they are not
         self._bearable_at = -1
         self._answers = 0  # answers so far, from all servers
         self._extra = EXTRA_PER_REQUEST * EXTRA_SAVED / 2
@@ -350,24 +354,41 @@
         if event.kind is not ListKind.REMEMBERED:
             self._failed_calls = 0
             self._ask_due = None
-        if event.kind is not ListKind.CHANGES:
-            listed = {line.server for line in event.servers}
+        whole = event.kind is not ListKind.CHANGES
+        listed = dict.fromkeys(line.server for line in event.servers)
+        if whole:
+            self._ready, self._ready_far, self._ready_size = [], 0, 0.0
             for server in self._servers.values():
                 if server.name not in listed:
                     self._state_heard(server, ServerState.GONE)
+        else:
+            # What one change costs must not grow with the list: only these are taken out, and in again.
+            for server in [self._servers[name] for name in listed if name in self._servers]:
+                if server.state is ServerState.READY:
+                    del self._ready[bisect.bisect_left(self._ready, server.place, key=_place)]
+                    self._count_ready(server, -1)
         for line in event.servers:
             self._server_listed(line)
-        for server in [each for each in self._servers.values() if each.state is ServerState.GONE]:
+        heard = list(self._servers.values()) if whole else [self._servers[name] for name in listed]
+        for server in heard:
             self._forget_if_gone(server)
-        self._ready = [each for each in self._servers.values() if each.state is ServerState.READY]
-        self._ready.sort(key=lambda each: each.place)
-        far = sum(each.zone != self._settings.zone for each in self._ready)
-        self._far_part = far / max(len(self._ready), 1)
-        mean_size = sum(each.nominal for each in self._ready) / max(len(self._ready), 1)
-        for server in self._ready:
+        ready = [each for each in heard if each.state is ServerState.READY]
+        for server in ready:
+            self._count_ready(server, 1)
+            if not whole:
+                bisect.insort(self._ready, server, key=_place)
+        if whole:
+            self._ready = sorted(ready, key=_place)
+        self._far_part = self._ready_far / max(len(self._ready), 1)
+        mean_size = self._ready_size / max(len(self._ready), 1)
+        for server in ready:
             if server.pace <= 0.0:  # until answers tell, a server is as quick as its nominal size
                 server.pace = mean_size / server.nominal if server.nominal > 0.0 else 1.0
 
+    def _count_ready(self, server: Server, by: int) -> None:
+        self._ready_far += by * (server.zone != self._settings.zone)
+        self._ready_size += by * server.nominal
+
     def _server_listed(self, line: ListedServer) -> None:
         server = self._servers.get(line.server)
         if server is None:
@@ -1081,6 +1102,7 @@
 
     def _turned_cold(self, server: Server, since: int) -> None:
         server.cold_since = since
+        self._cold[server.name] = server
         server.allowance = self._random.random()  # from none, all balancers would fall due together, late
         server.allowance_at = self._now
 
@@ -1118,11 +1140,14 @@
         """What a warm server serves for this balancer; worked out once for each instant."""
         if self._bearable_at != self._now:
             self._bearable_at = self._now
-            warm = [each for each in self._ready if not self._is_cold(each)]
-            peers = warm or self._ready  # ejected ones too: they served a part of what is counted
-            served = self._served_warm if warm else self._arrivals
-            self._bearable = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
-            self._mean_size = sum(each.nominal for each in peers) / max(len(peers), 1)
+            self._cold = {name: each for name, each in self._cold.items() if self._is_cold(each)}
+            cold = [each for each in self._cold.values() if each.state is ServerState.READY]
+            count, size = len(self._ready) - len(cold), self._ready_size - sum(each.nominal for each in cold)
+            served = self._served_warm
+            if not count:  # ejected ones too are counted: they served a part of it
+                count, size, served = len(self._ready), self._ready_size, self._arrivals
+            self._bearable = served.per_us(self._now) / max(min(count, self._reach()), 1)
+            self._mean_size = size / max(count, 1)
         return self._bearable
 
     # -----------------------------------------------------------------------------------------------
@@ -1166,6 +1191,10 @@
             self._actions.append(SetTimer(max(agenda[0][0] - self._now, 0), "agenda"))
 
 
+def _place(server: Server) -> float:
+    return server.place
+
+
 _WHOLE = -1  # the agenda's mark for a request as a whole, not one of its attempts
 _ASK = -1  # the agenda's mark for discovery; requests are never negative
 
--- /dev/null
+++ b/micadeck/cli/__init__.py
@@ -0,0 +1,37 @@
+"""The `micadeck` command: its parts are loaded when they are called, each from the package it belongs to."""
+
+from __future__ import annotations
+
+import importlib
+
+import click
+
+_PARTS = {"membership": "micadeck.membership.__main__"}
+
+
+class _Parts(click.Group):
+    """Subcommands that live in packages of their own."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), *_PARTS])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name not in _PARTS:
+            return super().get_command(ctx, cmd_name)
+        command = importlib.import_module(_PARTS[cmd_name]).command
+        assert isinstance(command, click.Command)
+        return command
+
+
+@click.group(cls=_Parts)
+@click.version_option(package_name="micadeck")
+def main() -> None:
+    """A client-side load balancer for calls between services."""
+
+
+@main.command()
+def serve() -> None:
+    """Run the sidecar that BALANCER_CONFIG describes, as `python -m micadeck` does."""
+    from micadeck.__main__ import main as daemon
+
+    raise SystemExit(daemon())
--- a/micadeck/config.py
+++ b/micadeck/config.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from magpiemux import Settings
 from magpiemux.adapter import settings_from_wire
@@ -14,6 +14,9 @@
 from micadeck.membership.roster import parse_listing
 from micadeck.network import Address, parse_address
 
+if TYPE_CHECKING:
+    from micadeck.membership.consul.config import ConsulConfig
+
 _DEFAULT_SOCKETS = 1_024
 _DEFAULT_MEMORY_MB = 64
 
@@ -28,7 +31,7 @@
 
     name: str
     listen: Address
-    discovery: Address
+    discovery: Address | None  # the roster's; None: there is none, only Consul
     settings: Settings
     seed: int
     sockets: int
@@ -37,6 +40,7 @@
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
+    consul: ConsulConfig | None = None
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -76,7 +80,7 @@
     return Config(
         name=_text(given, "name"),
         listen=_address("listen", given.get("listen")),
-        discovery=_address("discovery", given.get("discovery")),
+        discovery=_discovery(given),
         settings=settings,
         seed=_seed(given.get("seed")),
         sockets=_limit(given.get("limits"), "sockets", 64, _DEFAULT_SOCKETS),
@@ -85,9 +89,33 @@
         peer_listen=_optional_address("peer_listen", given.get("peer_listen")),
         peers=tuple(_address(f"peers[{index}]", each) for index, each in enumerate(peers)),
         peers_all=_optional_address("peers_all", given.get("peers_all")),
+        consul=_consul(given.get("consul")),
     )
 
 
+def _discovery(given: Mapping[str, Any]) -> Address | None:
+    """The roster; with Consul, there may be none."""
+    is_needed = not given.get("consul")
+    read = _address if is_needed else _optional_address
+    return read("discovery", given.get("discovery"))
+
+
+def _consul(path: object) -> ConsulConfig | None:
+    """The file that the key names; what reads it is loaded only if there is one."""
+    if path in (None, ""):
+        return None
+    if not isinstance(path, str):
+        raise ConfigError(f"consul: the path of a file is needed, not {path!r:.60}")
+    try:
+        from micadeck.membership.consul import config
+    except ImportError as missing:
+        raise ConfigError(f"consul: install micadeck[consul]: {missing}") from None
+    try:
+        return config.load(path)
+    except config.ConsulConfigError as fault:
+        raise ConfigError(f"consul: {fault}") from None
+
+
 def _text(given: Mapping[str, Any], key: str) -> str:
     value = given.get(key)
     if not isinstance(value, str) or not value:
--- a/micadeck/membership/__main__.py
+++ b/micadeck/membership/__main__.py
@@ -1,138 +1,118 @@
-"""What a sidecar would make of a live Consul: `python -m micadeck.membership show CONFIG [--watch]`.
+"""What a sidecar would make of a live Consul: `micadeck membership show CONFIG [--watch]`.
 
-Prints a line for each server: its name, its state, what each service's source says and why.  Exit codes: 0,
-1 if a service could not be read within a few seconds, 2 if the configuration is bad.
+Prints a line for each server: its name, what each service says of it, its state, how old that word is and
+why.  Exit codes: 0, 1 if a service could not be read within a few seconds, 2 if the configuration is bad.
 """
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import sys
 
-from micadeck.membership.consul import Agents, ConsulClient, Heard, watch
+import click
+from rich.console import Console
+from rich.table import Table
+
+from micadeck.engine import Listing
+from micadeck.membership.consul import Agents, Ask, ConsulClient, ConsulError
 from micadeck.membership.consul.config import ConsulConfig, ConsulConfigError, load
-from micadeck.membership.merge import Merge
-from micadeck.network import LoopNetwork
+from micadeck.membership.sources import Sources
+from micadeck.network import LoopNetwork, place
 
 _WITHIN_S = 5.0
+_WIDE = 1_000  # where nobody's screen sets a width
 
 
 class Show:
-    """All services of a configuration, read into one merge."""
+    """The sources that a sidecar would have, and a listener in the engine's place."""
 
     def __init__(self, config: ConsulConfig) -> None:
         self._network = LoopNetwork()
-        self.merge = Merge()
-        self.lags: dict[str, float] = {}
-        self.failures: dict[str, str] = {}
-        self.news = asyncio.Event()
-        self._watches = []
-        for number, service in enumerate(config.services):
-            self.merge.add(service.name, service.trust)
-            client = ConsulClient(self._network, Agents(config.agents), service.ask)
-            self._watches.append(
-                watch(
-                    self._network,
-                    client,
-                    service.name,
-                    lambda heard, name=service.name: self._heard(name, heard),  # type: ignore[misc]
-                    lambda text, name=service.name: self._failed(name, text),  # type: ignore[misc]
-                    seed=number,
-                    wait_s=config.wait_s,
-                    names=service.names,
-                )
-            )
-
-    def start(self) -> None:
-        for each in self._watches:
-            each.start()
-
-    def close(self) -> None:
-        for each in self._watches:
-            each.close()
-
-    def _now(self) -> float:
-        return self._network.now() / 1e6
-
-    def _heard(self, name: str, heard: Heard) -> bool:
-        believed = self.merge.heard(self._now(), name, heard.sightings, lag_s=heard.lag_s, agent=heard.agent)
-        self.lags[name] = heard.lag_s
-        self.failures.pop(name, None)
-        for doubt in heard.doubts:
-            sys.stdout.write(f"# {name}: {doubt}\n")
-        self.news.set()
-        return believed
-
-    def _failed(self, name: str, text: str) -> None:
-        self.failures[name] = text
-        self.news.set()
+        self._config = config
+        self._console = Console(width=None if sys.stdout.isatty() else _WIDE, highlight=False)
+        self._news = asyncio.Event()
+        self.sources = Sources(self._network, None, Listing(0, True, ()), config, 0, "show", self._told)
+
+    def _told(self, line: str) -> None:
+        self._console.print(f"# {line}", markup=False)
+        self._news.set()
+
+    async def agents(self) -> None:
+        """Say who each agent is, and what it has to say of its leader."""
+        for address in self._config.agents:
+            client = ConsulClient(self._network, Agents((address,)), self._config.services[0].ask or Ask())
+            try:
+                self._told(f"agent {place(address)}: {await client.about()}")
+            except ConsulError as fault:
+                self._told(f"agent {fault}")
+            client.close()
 
     async def first(self) -> bool:
         """Wait until each service was read once; whether they all were."""
+        self.sources.start(lambda _: self._news.set(), self._news.set)
         try:
             async with self._network.timeout(_WITHIN_S):
-                while len(self.lags) < len(self._watches):
-                    self.news.clear()
-                    await self.news.wait()
+                while self.sources.unheard:
+                    await self.next()
         except TimeoutError:
             return False
         return True
 
-    def has_changed(self) -> bool:
-        return self.merge.changes(self._now()) is not None or bool(self.failures)
+    async def next(self) -> None:
+        await self._news.wait()
+        self._news.clear()
 
     def write(self) -> None:
-        sys.stdout.write("\n".join(self.lines()) + "\n\n")
-        sys.stdout.flush()
-
-    def lines(self) -> list[str]:
-        rows = [("NODE", "SOURCE", "STATE", "AGE", "WHY")]
-        for row in sorted(self.merge.rows(self._now()), key=lambda each: each.name):
+        table = Table(box=None, pad_edge=False)
+        for title in ("NODE", "SOURCE", "STATE", "AGE", "WHY"):
+            table.add_column(title, no_wrap=True)
+        ages = self.sources.ages()
+        for row in sorted(self.sources.merge.rows(self._network.now() / 1e6), key=lambda each: each.name):
             for source, caution, why in row.says:
-                age = f"{self.lags.get(source, 0.0):.1f} s"
-                rows.append((row.name, f"{source}: {caution.name.lower()}", row.state.value, age, why))
-        widths = [max(len(row[column]) for row in rows) for column in range(4)]
-        lines = [
-            "  ".join(text.ljust(width) for text, width in zip(row, [*widths, 0], strict=True)).rstrip()
-            for row in rows
-        ]
-        return [*lines, *(f"# {name}: {text}" for name, text in sorted(self.failures.items()))]
+                age = f"{ages.get(source, 0.0):.1f} s"
+                table.add_row(row.name, f"{source}: {caution.name.lower()}", row.state.value, age, why)
+        self._console.print(table)
+        for name, text in sorted(self.sources.failing.items()):
+            self._console.print(f"# {name}: {text}", markup=False)
+        sys.stdout.write("\n")
+        sys.stdout.flush()
 
 
 async def show(config: ConsulConfig, *, keeps_on: bool) -> int:
     shown = Show(config)
-    shown.start()
+    await shown.agents()
     try:
         complete = await shown.first()
         shown.write()
         while keeps_on:
-            shown.news.clear()
-            await shown.news.wait()
-            if shown.has_changed():
-                shown.write()
+            await shown.next()
+            shown.write()
     finally:
-        shown.close()
+        shown.sources.close()
     return 0 if complete else 1
 
 
-def main() -> int:
-    given = argparse.ArgumentParser(prog="python -m micadeck.membership")
-    verbs = given.add_subparsers(dest="verb", required=True)
-    verb = verbs.add_parser("show", help="what a sidecar would make of a live Consul")
-    verb.add_argument("config")
-    verb.add_argument("--watch", action="store_true", help="go on, and print again at each change")
-    options = given.parse_args()
+@click.group("membership")
+def command() -> None:
+    """Who the servers are, and who says so."""
+
+
+@command.command("show")
+@click.argument("config", type=click.Path())
+@click.option("--watch", "keeps_on", is_flag=True, help="Go on, and print again at each change.")
+def show_command(config: str, keeps_on: bool) -> None:
+    """What a sidecar would make of the live Consul that the file CONFIG names."""
     try:
-        config = load(options.config)
+        loaded = load(config)
     except ConsulConfigError as fault:
-        print(f"micadeck: consul: {fault}".replace("\n", " "), file=sys.stderr)
-        return 2
+        click.echo(f"micadeck: consul: {fault}".replace("\n", " "), err=True)
+        raise SystemExit(2) from None
     try:
-        return asyncio.run(show(config, keeps_on=options.watch))
+        code = asyncio.run(show(loaded, keeps_on=keeps_on))
     except KeyboardInterrupt:
-        return 0
+        code = 0
+    raise SystemExit(code)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    command(prog_name="python -m micadeck.membership")
--- a/micadeck/membership/consul/__init__.py
+++ b/micadeck/membership/consul/__init__.py
@@ -11,6 +11,7 @@
 from micadeck.membership.consul.query import BlockingQuery, Verdict
 from micadeck.membership.consul.source import Heard, ServiceWatch, watch
 from micadeck.membership.consul.states import Names, Word, words
+from micadeck.membership.consul.view import News, ServiceView
 
 __all__ = [
     "Agents",
@@ -23,6 +24,8 @@
     "Instance",
     "Meta",
     "Names",
+    "News",
+    "ServiceView",
     "ServiceWatch",
     "Verdict",
     "Word",
--- a/micadeck/membership/consul/client.py
+++ b/micadeck/membership/consul/client.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import random
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from micadeck.http.client import ClientConnection, Failure
@@ -12,11 +15,14 @@
     Ask,
     ConsulError,
     Meta,
+    check_status,
+    object_of,
     read_body,
     read_meta,
     redirected,
+    unpacked,
 )
-from micadeck.network import Address, Network
+from micadeck.network import Address, Network, place
 
 _DIAL_WITHIN_S = 1.0
 _ANSWER_WITHIN_S = 5.0  # from an answer's first byte to its last
@@ -25,13 +31,13 @@
 
 
 class Agents:
-    """The agents' addresses, the one in use first in turn."""
+    """The agents' addresses, the one in use first in turn; with chance, the first one is drawn."""
 
-    def __init__(self, addresses: tuple[Address, ...]) -> None:
+    def __init__(self, addresses: tuple[Address, ...], chance: random.Random | None = None) -> None:
         if not addresses:
             raise ValueError("agents: at least one address is needed")
         self._addresses = addresses
-        self._turn = 0
+        self._turn = chance.randrange(len(addresses)) if chance is not None else 0
 
     @property
     def current(self) -> Address:
@@ -67,21 +73,54 @@
 
         After a failure that is the agent's own, the next call goes to the next agent.
         """
+        with self._naming() as agent:
+            response = await self._answer(agent, path, index, wait_s, within_s)
+            return read_body(response), read_meta(response)
+
+    async def get_raw(
+        self, path: str, *, index: int = 0, wait_s: float = 0.0, within_s: float = _CALL_WITHIN_S
+    ) -> tuple[bytes, Meta]:
+        """The same, the body unpacked but unread: a large one holds the event loop up for a millisecond."""
+        with self._naming() as agent:
+            response = await self._answer(agent, path, index, wait_s, within_s)
+            check_status(response)
+            pieces = []
+            for piece in unpacked(response):
+                pieces.append(piece)
+                await self._network.sleep(0)
+            return b"".join(pieces), read_meta(response)
+
+    async def about(self) -> str:
+        """Who the agent in use is, and whether its servers have a leader; raise ConsulError."""
+        told, _ = await self.get("/v1/agent/self")
+        leader, _ = await self.get("/v1/status/leader")
+        config = object_of(object_of(told, "the body").get("Config"), "Config")
+        return (
+            f"{config.get('NodeName')} in {config.get('Datacenter')}, Consul {config.get('Version')}, "
+            f"{f'leader {leader}' if leader else 'without a leader'}"
+        )
+
+    @contextmanager
+    def _naming(self) -> Iterator[Address]:
+        """Names the agent in use in whatever goes wrong with a call to it."""
         address = self.agents.current
-        place = f"{address[0]}:{address[1]}"
-        request = self._ask.request(path, place, index=index, wait_s=wait_s)
         try:
-            async with self._network.timeout(within_s):
-                response = await self._get(address, request)
-            return read_body(response), read_meta(response)
+            yield address
         except ConsulError as fault:
             self._failed(is_agents=not fault.is_denied)
             raise ConsulError(
-                f"{place}: {fault}", retry_after_s=fault.retry_after_s, is_denied=fault.is_denied
+                f"{place(address)}: {fault}", retry_after_s=fault.retry_after_s, is_denied=fault.is_denied
             ) from None
         except (OSError, TimeoutError) as fault:
             self._failed(is_agents=True)
-            raise ConsulError(f"{place}: {str(fault) or 'no answer in time'}") from None
+            raise ConsulError(f"{place(address)}: {str(fault) or 'no answer in time'}") from None
+
+    async def _answer(
+        self, address: Address, path: str, index: int, wait_s: float, within_s: float
+    ) -> Response:
+        request = self._ask.request(path, place(address), index=index, wait_s=wait_s)
+        async with self._network.timeout(within_s):
+            return await self._get(address, request)
 
     def _failed(self, *, is_agents: bool) -> None:
         self.close()
@@ -91,18 +130,17 @@
     async def _get(self, address: Address, request: Request) -> Response:
         for _ in range(_MOST_REDIRECTS + 1):
             response = await self._exchange(address, request)
-            place = redirected(response)
-            if place is None:
+            onward = redirected(response)
+            if onward is None:
                 return response
-            address, target = place
+            address, target = onward
             # The token is for the agents of the configuration, wherever one of them may send us.
             kept = [
                 each
                 for each in request.headers
                 if each[0] != b"host" and (each[0] != b"x-consul-token" or self.agents.has(address))
             ]
-            host = f"{address[0]}:{address[1]}".encode()
-            request = Request(request.method, target, [(b"host", host), *kept])
+            request = Request(request.method, target, [(b"host", place(address).encode()), *kept])
         raise ConsulError("sent on from place to place")
 
     async def _exchange(self, address: Address, request: Request) -> Response:
--- a/micadeck/membership/consul/config.py
+++ b/micadeck/membership/consul/config.py
@@ -1,22 +1,27 @@
-"""The configuration of Consul as a source: a file of its own; errors begin with the key at fault."""
+"""Consul's part of the configuration: a file of its own, JSON or TOML; errors begin with the key at fault."""
 
 from __future__ import annotations
 
-import json
 import re
-from collections.abc import Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, cast
+from typing import Annotated, Any, TypeVar
+
+import msgspec
+from msgspec import Meta, Struct
 
 from micadeck.membership.consul.protocol import Ask, Mode
 from micadeck.membership.consul.states import Names
 from micadeck.membership.merge import Trust
 from micadeck.network import Address, parse_address
 
-_MODES = ("default", "stale", "consistent")
 _HOURS = re.compile(r"([01][0-9]|2[0-3]):([0-5][0-9])-([01][0-9]|2[0-3]):([0-5][0-9])")
-_SERVICE = re.compile(r"[!-~]{1,128}")
+_ALWAYS = "always"
+
+T = TypeVar("T")
+_Line = Annotated[str, Meta(pattern=r"^[^\r\n]*$")]
+_Seconds = Annotated[float, Meta(ge=0.0, le=1e6)]
 
 
 class ConsulConfigError(ValueError):
@@ -39,13 +44,55 @@
 
     agents: tuple[Address, ...]
     services: tuple[Service, ...]
-    wait_s: float
+    wait_s: float  # of a blocking query
+    spread_s: float  # the first calls are spread over this
+
+
+# The file, as it is written
+
+
+class _Keys(Struct, forbid_unknown_fields=True):
+    """Under which meta keys an instance tells of itself."""
+
+    zone: _Line = "zone"
+    kind: _Line = "kind"
+    cell: _Line = "cell"
+    started: _Line = "started_ms"
+
+
+class _Service(Struct, forbid_unknown_fields=True):
+    name: Annotated[str, Meta(pattern=r"^[!-~]{1,128}$")]
+    datacenter: _Line = ""
+    namespace: _Line = ""
+    partition: _Line = ""
+    mode: Mode = "default"
+    tags: tuple[_Line, ...] = ()
+    filter: _Line = ""
+    meta: _Keys = msgspec.field(default_factory=_Keys)
+    tagged_address: _Line = ""
+    zone: _Line = ""
+    lent: _Line = _ALWAYS
+    keep_s: Annotated[float, Meta(ge=1.0, le=1e6)] = 3_600.0
+    doubt_s: _Seconds = 2.0
+    in_use: Annotated[float, Meta(ge=0.0, le=1.0)] = 0.5
+    flaps: Annotated[int, Meta(ge=1, le=1_000)] = 4
+    flap_s: _Seconds = 30.0
+    forget_s: _Seconds = 60.0
+
+
+class _File(Struct, forbid_unknown_fields=True):
+    agents: Annotated[tuple[str, ...], Meta(min_length=1)]
+    services: Annotated[tuple[_Service, ...], Meta(min_length=1)]
+    token_file: _Line = ""
+    wait_s: Annotated[float, Meta(ge=0.1, le=600.0)] = 30.0
+    spread_s: Annotated[float, Meta(ge=0.0, le=60.0)] = 0.2
 
 
 def load(path: str | Path) -> ConsulConfig:
     """Read and check a file; raise ConsulConfigError."""
     try:
-        given = json.loads(Path(path).read_bytes())
+        raw = Path(path).read_bytes()
+        given = msgspec.toml.decode(raw) if str(path).endswith(".toml") else msgspec.json.decode(raw)
     except (OSError, ValueError, RecursionError) as fault:
         raise ConsulConfigError(f"{path}: it can't be read: {fault}") from None
     return parse(given)
@@ -53,141 +100,100 @@
 
 def parse(given: Any) -> ConsulConfig:
     """Check a configuration; raise ConsulConfigError, naming the key, on nonsense and on unknown keys."""
-    top = _Part(given, "")
-    agents = []
-    for number, each in enumerate(top.items("agents", str)):
-        try:
-            agents.append(parse_address(each))
-        except ValueError as nonsense:
-            raise ConsulConfigError(f"agents[{number}]: {nonsense}") from None
-    if not agents:
-        raise ConsulConfigError("agents: at least one address is needed")
-    token = _token(top)
-    services = tuple(
-        _service(_Part(each, f"services[{number}]."), token)
-        for number, each in enumerate(top.items("services", Mapping))
+    file = _checked(given)
+    agents = tuple(
+        _named(f"agents[{number}]", parse_address, each) for number, each in enumerate(file.agents)
     )
-    if not services:
-        raise ConsulConfigError("services: at least one is needed")
+    token = _named("token_file", _token, file.token_file)
+    services = tuple(_service(each, number, token) for number, each in enumerate(file.services))
     if len({each.name for each in services}) < len(services):
         raise ConsulConfigError("services: a name stands twice")
-    wait_s = top.number("wait_s", 30.0, 0.1, 600.0)
-    top.nothing_else()
-    return ConsulConfig(tuple(agents), services, wait_s)
+    return ConsulConfig(agents, services, file.wait_s, file.spread_s)
+
+
+def _checked(given: Any) -> _File:
+    try:
+        return msgspec.convert(given, _File)
+    except msgspec.ValidationError as fault:
+        text, _, at = str(fault).partition(" - at `$")
+        path = at.rstrip("`").lstrip(".")
+        # A key that is missing or unknown is named in the text, not in the path.
+        named = re.search(r"(?:unknown|missing required) field `([^`]*)`", text)
+        if named is not None:
+            path = ".".join(each for each in (path, named[1]) if each)
+            text = "there is no such key" if "unknown" in text else "it is needed"
+        if path in ("agents", "services") and (named is not None or "length" in text):
+            text = f"at least one {'address' if path == 'agents' else 'service'} is needed"
+        raise ConsulConfigError(f"{path or 'the file'}: {text}") from None
+
+
+def _named(key: str, read: Callable[[str], T], value: str) -> T:
+    try:
+        return read(value)
+    except ValueError as fault:
+        raise ConsulConfigError(f"{key}: {fault}") from None
 
 
-def _token(top: _Part) -> str:
+def _token(path: str) -> str:
     """From a file of its own, so that the configuration can be shown to anybody."""
-    path = top.text("token_file", "")
     if not path:
         return ""
     try:
         return Path(path).read_text(encoding="ascii").strip()
     except (OSError, ValueError) as fault:
-        raise ConsulConfigError(f"token_file: {path} can't be read: {type(fault).__name__}") from None
-
-
-def _service(part: _Part, token: str) -> Service:
-    name = part.text("name", None)
-    if not _SERVICE.fullmatch(name):
-        raise ConsulConfigError(f"{part.path}name: {name!r:.60} is no service's name")
-    mode = part.text("mode", "default")
-    if mode not in _MODES:
-        raise ConsulConfigError(f"{part.path}mode: one of {', '.join(_MODES)} is needed, not {mode!r:.40}")
-    ask = Ask(
-        token=token,
-        datacenter=part.text("datacenter", ""),
-        namespace=part.text("namespace", ""),
-        partition=part.text("partition", ""),
-        mode=cast(Mode, mode),
-        tags=tuple(part.items("tags", str)),
-        filter=part.text("filter", ""),
+        raise ValueError(f"{path} can't be read: {type(fault).__name__}") from None
+
+
+def _service(given: _Service, number: int, token: str) -> Service:
+    lent = None if given.lent == _ALWAYS else _named(f"services[{number}].lent", _Hours, given.lent)
+    return Service(
+        name=given.name,
+        ask=Ask(
+            token=token,
+            datacenter=given.datacenter,
+            namespace=given.namespace,
+            partition=given.partition,
+            mode=given.mode,
+            tags=given.tags,
+            filter=given.filter,
+        ),
+        names=Names(
+            zone=given.meta.zone,
+            kind=given.meta.kind,
+            cell=given.meta.cell,
+            started=given.meta.started,
+            tagged=given.tagged_address,
+            in_zone=given.zone,
+        ),
+        trust=Trust(
+            keep_s=given.keep_s,
+            doubt_s=given.doubt_s,
+            in_use=given.in_use,
+            flaps=given.flaps,
+            flap_s=given.flap_s,
+            forget_s=given.forget_s,
+            lent=lent,
+        ),
     )
-    meta = part.part("meta")
-    names = Names(
-        zone=meta.text("zone", "zone"),
-        kind=meta.text("kind", "kind"),
-        cell=meta.text("cell", "cell"),
-        started=meta.text("started", "started_ms"),
-        tagged=part.text("tagged_address", ""),
-    )
-    meta.nothing_else()
-    hours = part.text("lent", "always")
-    trust = Trust(
-        keep_s=part.number("keep_s", 3_600.0, 1.0, 1e6),
-        doubt_s=part.number("doubt_s", 2.0, 0.0, 3_600.0),
-        in_use=part.number("in_use", 0.5, 0.0, 1.0),
-        flaps=int(part.number("flaps", 4, 1, 1_000)),
-        flap_s=part.number("flap_s", 30.0, 0.0, 3_600.0),
-        lent=None if hours == "always" else _Hours(hours, f"{part.path}lent"),
-    )
-    part.nothing_else()
-    return Service(name, ask, names, trust)
 
 
 class _Hours:
     """Daily hours of UTC, `HH:MM-HH:MM`; over midnight if the second is the earlier one."""
 
-    def __init__(self, text: str, key: str) -> None:
+    def __init__(self, text: str) -> None:
         found = _HOURS.fullmatch(text)
         if found is None:
-            raise ConsulConfigError(f"{key}: 'always' or HH:MM-HH:MM (UTC) is needed, not {text!r:.40}")
+            raise ValueError(f"'{_ALWAYS}' or HH:MM-HH:MM (UTC) is needed, not {text!r:.40}")
         begin_h, begin_m, end_h, end_m = (int(each) for each in found.groups())
-        self._begin, self._end = begin_h * 60 + begin_m, end_h * 60 + end_m
+        self._span = begin_h * 60 + begin_m, end_h * 60 + end_m
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, _Hours) and self._span == other._span
+
+    def __hash__(self) -> int:
+        return hash(self._span)
 
     def __call__(self, now: float) -> bool:
         minute = int(now // 60) % (24 * 60)  # of the day, in UTC
-        if self._begin <= self._end:
-            return self._begin <= minute < self._end
-        return minute >= self._begin or minute < self._end
-
-
-class _Part:
-    """Reads one object, and knows which keys nobody asked for."""
-
-    def __init__(self, given: Any, path: str) -> None:
-        if not isinstance(given, Mapping):
-            raise ConsulConfigError(f"{path.rstrip('.') or 'the file'}: an object is needed")
-        self._given = given
-        self.path = path
-        self._asked: set[str] = set()
-
-    def _value(self, key: str) -> Any:
-        self._asked.add(key)
-        return self._given.get(key)
-
-    def text(self, key: str, default: str | None) -> str:
-        value = self._value(key)
-        if value is None and default is not None:
-            return default
-        if not isinstance(value, str) or "\n" in value or "\r" in value:
-            raise ConsulConfigError(f"{self.path}{key}: a text is needed, not {value!r:.60}")
-        return value
-
-    def number(self, key: str, default: float, low: float, high: float) -> float:
-        value = self._value(key)
-        if value is None:
-            return default
-        if isinstance(value, bool) or not isinstance(value, (int, float)) or not low <= value <= high:
-            raise ConsulConfigError(
-                f"{self.path}{key}: a number from {low:g} to {high:g} is needed, not {value!r:.40}"
-            )
-        return float(value)
-
-    def items(self, key: str, kind: type) -> list[Any]:
-        value = self._value(key)
-        if value is None:
-            return []
-        if not isinstance(value, list) or not all(isinstance(each, kind) for each in value):
-            raise ConsulConfigError(f"{self.path}{key}: a list is needed, not {value!r:.60}")
-        return value
-
-    def part(self, key: str) -> _Part:
-        value = self._value(key)
-        return _Part({} if value is None else value, f"{self.path}{key}.")
-
-    def nothing_else(self) -> None:
-        """Raise on a key that nobody asked for: a misspelt one would be passed over in silence."""
-        unknown = sorted(set(self._given) - self._asked)
-        if unknown:
-            raise ConsulConfigError(f"{self.path}{unknown[0]}: there is no such key")
+        begin, end = self._span
+        return begin <= minute < end if begin <= end else minute >= begin or minute < end
--- a/micadeck/membership/consul/protocol.py
+++ b/micadeck/membership/consul/protocol.py
@@ -8,7 +8,7 @@
 
 import json
 import zlib
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any, Literal
 from urllib.parse import quote, urlencode, urlsplit
@@ -17,6 +17,7 @@
 from micadeck.network import Address, parse_address
 
 MOST_BODY = 4 << 20  # of an answer, packed or not
+_PIECE = 256 << 10
 Mode = Literal["default", "stale", "consistent"]
 
 
@@ -96,36 +97,49 @@
 
 def read_body(response: Response) -> Any:
     """The JSON of an answer; raise ConsulError, in words that name what is wrong, on any other answer."""
+    check_status(response)
+    try:
+        return json.loads(b"".join(unpacked(response)))
+    except (ValueError, RecursionError) as fault:
+        raise ConsulError(f"the body is no JSON: {fault}") from None
+
+
+def check_status(response: Response) -> None:
+    """Raise ConsulError, in words that name what is wrong, on an answer that is not 200."""
     if response.status == 403:
         raise ConsulError("403: the token may not read this", is_denied=True)
     if response.status == 429:
         raise ConsulError("429: too many calls", retry_after_s=_retry_after(response))
     if response.status != 200:
-        text = _unpacked(response)[:80].decode("utf-8", "replace").strip()
+        text = b"".join(unpacked(response))[:80].decode("utf-8", "replace").strip()
         raise ConsulError(f"{response.status}: {text or 'no reason given'}")
-    try:
-        return json.loads(_unpacked(response))
-    except (ValueError, RecursionError) as fault:
-        raise ConsulError(f"the body is no JSON: {fault}") from None
 
 
-def _unpacked(response: Response) -> bytes:
+def unpacked(response: Response) -> Iterator[bytes]:
+    """The body, in pieces that take about a millisecond each to unpack.
+
+    Raises ConsulError on one that is no gzip, breaks off, or would unpack to over 4 MiB.
+    """
     coding = response.header(b"content-encoding")
     if coding is None:
-        return response.body
+        yield response.body
+        return
     if coding != b"gzip":
         raise ConsulError(f"content-encoding {coding!r:.40} was not asked for")
     unpacker = zlib.decompressobj(wbits=31)
-    try:
-        # Guards against a small body that unpacks to all of memory.
-        body = unpacker.decompress(response.body, MOST_BODY + 1)
-    except zlib.error as fault:
-        raise ConsulError(f"the body can't be unpacked: {fault}") from None
-    if len(body) > MOST_BODY:
-        raise ConsulError("the body is over 4 MiB once unpacked")
-    if not unpacker.eof:
-        raise ConsulError("the packed body breaks off")
-    return body
+    packed, size = response.body, 0
+    while not unpacker.eof:
+        try:
+            piece = unpacker.decompress(packed, _PIECE)
+        except zlib.error as fault:
+            raise ConsulError(f"the body can't be unpacked: {fault}") from None
+        packed = unpacker.unconsumed_tail
+        if not piece and not packed and not unpacker.eof:
+            raise ConsulError("the packed body breaks off")
+        size += len(piece)
+        if size > MOST_BODY:  # guards against a small body that unpacks to all of memory
+            raise ConsulError("the body is over 4 MiB once unpacked")
+        yield piece
 
 
 def _retry_after(response: Response) -> float:
--- a/micadeck/membership/consul/source.py
+++ b/micadeck/membership/consul/source.py
@@ -1,42 +1,35 @@
-"""One service of Consul, watched: each answer becomes a list of sightings for the merge."""
+"""One service of Consul, watched: each answer becomes what it changes in the service's list."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from micadeck.membership.consul.client import ConsulClient
-from micadeck.membership.consul.entries import parse_health
 from micadeck.membership.consul.protocol import ConsulError
 from micadeck.membership.consul.query import BlockingQuery
-from micadeck.membership.consul.states import Health, Names, Restarts, words
-from micadeck.membership.merge import Caution, Sighting
+from micadeck.membership.consul.states import Names
+from micadeck.membership.consul.view import News, ServiceView
 from micadeck.network import Network
 
-_CAUTIONS = {
-    Health.READY: Caution.READY,
-    Health.DOUBTFUL: Caution.DOUBTFUL,
-    Health.DRAINS: Caution.DRAINS,
-}
-
 
 @dataclass(frozen=True, slots=True)
 class Heard:
-    """A whole list of a service, and what is to be known of it."""
+    """What an answer changes in a service's list, and what is to be known of it."""
 
-    sightings: tuple[Sighting, ...]
+    news: News
     lag_s: float  # how old it may be
     agent: str
-    doubts: tuple[str, ...]  # entries that were left out or contradict one another
 
 
 class ServiceWatch:
     """Asks for one service's instances for as long as it lives.
 
-    `on_heard` gets every answer and says whether it is believed; one that is not is asked for again, of the
-    next agent.  `on_failed` gets what went wrong with a call, in words without the token.
+    `believes_empty` is asked, with the agent's address, about a list without entries; one that is not
+    believed is asked for again, of the next agent.  `on_heard` gets what every other answer changes, and
+    `on_failed` what went wrong with a call, in words without the token.
     """
 
     def __init__(
@@ -45,7 +38,8 @@
         client: ConsulClient,
         service: str,
         query: BlockingQuery,
-        on_heard: Callable[[Heard], bool],
+        believes_empty: Callable[[str], bool],
+        on_heard: Callable[[Heard], Awaitable[None]],
         on_failed: Callable[[str], None],
         names: Names | None = None,
     ) -> None:
@@ -53,10 +47,10 @@
         self._client = client
         self._path = f"/v1/health/service/{service}"
         self._query = query
+        self._believes_empty = believes_empty
         self._on_heard = on_heard
         self._on_failed = on_failed
-        self._names = names
-        self._restarts = Restarts()
+        self._view = ServiceView(names)
         self._task: asyncio.Task[None] | None = None
 
     def start(self, spread_s: float = 0.0) -> None:
@@ -76,42 +70,32 @@
                 await self._network.sleep(plan.delay_s)
             agent = self._client.agents.current
             try:
-                body, meta = await self._client.get(
+                body, meta = await self._client.get_raw(
                     self._path, index=plan.index, wait_s=plan.wait_s, within_s=plan.within_s
                 )
-                instances, faults = parse_health(body)
+                for _ in self._view.read(body):
+                    await self._network.sleep(0)  # a list of thousands must not hold up requests
             except ConsulError as fault:
                 self._query.failed(self._network.time(), fault.retry_after_s)
                 self._on_failed(str(fault))
                 continue
             self._query.answered(self._network.time(), meta)
-            told, doubts = words(instances, self._names)
-            starts = self._restarts.heard(self._network.now(), told)
-            sightings = tuple(
-                Sighting(
-                    address=each.address,
-                    caution=_CAUTIONS[each.health],
-                    why=each.why,
-                    zone=each.zone,
-                    kind=each.kind,
-                    cell=each.cell,
-                    weight=each.weight,
-                    started_at=starts.get(each.server),
-                )
-                for each in told
-            )
             place = f"{agent[0]}:{agent[1]}"
-            if not self._on_heard(Heard(sightings, meta.last_contact_s, place, (*faults, *doubts))):
+            if not self._view.count() and not self._believes_empty(place):
                 self._query.doubted()
                 self._client.close()
                 self._client.agents.next()
+                continue
+            news = self._view.taken(self._network.now())
+            await self._on_heard(Heard(news, meta.last_contact_s, place))
 
 
 def watch(
     network: Network,
     client: ConsulClient,
     service: str,
-    on_heard: Callable[[Heard], bool],
+    believes_empty: Callable[[str], bool],
+    on_heard: Callable[[Heard], Awaitable[None]],
     on_failed: Callable[[str], None],
     *,
     seed: int,
@@ -120,4 +104,4 @@
 ) -> ServiceWatch:
     """A watch with a query of its own; `seed` sets its jitter apart from others'."""
     query = BlockingQuery(random.Random(seed), wait_s)
-    return ServiceWatch(network, client, service, query, on_heard, on_failed, names)
+    return ServiceWatch(network, client, service, query, believes_empty, on_heard, on_failed, names)
--- a/micadeck/membership/consul/states.py
+++ b/micadeck/membership/consul/states.py
@@ -22,7 +22,7 @@
 from enum import Enum, unique
 
 from micadeck.membership.consul.entries import Check, Instance
-from micadeck.network import Address
+from micadeck.network import Address, place
 
 _NODE_MAINTENANCE = "_node_maintenance"
 _SERVICE_MAINTENANCE = "_service_maintenance:"
@@ -46,6 +46,7 @@
     cell: str = "cell"
     started: str = "started_ms"  # Unix time in milliseconds
     tagged: str = ""  # "lan" or "wan"; empty: the service's own
+    in_zone: str = ""  # the zone of those that tell none: another than one's own is drawn from less
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,37 +71,37 @@
     A server is its address: the same service id on two nodes is two servers, and two registrations at one
     address are one, for which the more cautious word holds.
     """
-    names = names or Names()
-    by_address: dict[Address, Word] = {}
-    doubts: list[str] = []
+    by_address: dict[Address, list[Word]] = {}
     for instance in instances:
-        word = _word(instance, names)
-        other = by_address.get(word.address)
-        if other is not None:
-            doubts.append(f"{word.server} is registered as {other.registered} and as {word.registered}")
-            word = _more_cautious(other, word)
-        by_address[word.address] = word
-    return list(by_address.values()), doubts
+        word = word_of(instance, names or Names())
+        by_address.setdefault(word.address, []).append(word)
+    doubts = [
+        f"{each[0].server} is registered as {' and as '.join(str(word.registered) for word in each)}"
+        for each in by_address.values()
+        if len(each) > 1
+    ]
+    return [more_cautious(each) for each in by_address.values()], doubts
 
 
 _CAUTION = (Health.READY, Health.DOUBTFUL, Health.DRAINS)
 
 
-def _more_cautious(first: Word, second: Word) -> Word:
-    return max(first, second, key=lambda word: (_CAUTION.index(word.health), word.registered))
+def more_cautious(registrations: Iterable[Word]) -> Word:
+    """Of several words on one address, the one that holds."""
+    return max(registrations, key=lambda word: (_CAUTION.index(word.health), word.registered))
 
 
-def _word(instance: Instance, names: Names) -> Word:
+def word_of(instance: Instance, names: Names) -> Word:
+    """What one registration says of the server at its address."""
     address, port = instance.tagged.get(names.tagged, (instance.address, instance.port))
     health, why, weight = _judged(instance)
-    host = f"[{address}]" if ":" in address else address
     return Word(
-        server=f"{host}:{port}",
+        server=place((address, port)),
         address=(address, port),
         health=health,
         why=why,
         weight=float(weight),
-        zone=instance.meta.get(names.zone, ""),
+        zone=instance.meta.get(names.zone, names.in_zone),
         kind=instance.meta.get(names.kind, ""),
         cell=_number(instance.meta, names.cell) or 0,
         started_at=_started(instance.meta, names.started),
@@ -155,18 +156,24 @@
         self._seen: dict[str, int] = {}  # when a server was seen to start, microseconds
         self._has_looked = False
 
-    def heard(self, now: int, heard: Iterable[Word]) -> dict[str, int]:
-        """Take a whole list in; give the start of each server that has a known or a seen one."""
-        current = {each.server: each for each in heard}
-        for name, word in current.items():
+    def heard(self, now: int, changed: Iterable[Word], gone: Iterable[Address] = ()) -> dict[str, int]:
+        """Take a list in, or what changed in it; give the start of each server there that has one."""
+        for address in gone:
+            name = place(address)
+            self._last.pop(name, None)
+            self._seen.pop(name, None)
+        starts: dict[str, int] = {}
+        for word in changed:
+            name = word.server
             before = self._last.get(name)
             is_new = before is None and self._has_looked
             is_other = before is not None and before.registered != word.registered
             is_back = before is not None and before.health is Health.DOUBTFUL and word.health is Health.READY
             if is_new or is_other or is_back:
                 self._seen[name] = now
-        self._last = current
+            self._last[name] = word
+            started = word.started_at if word.started_at is not None else self._seen.get(name)
+            if started is not None:
+                starts[name] = started
         self._has_looked = True
-        self._seen = {name: at for name, at in self._seen.items() if name in current}
-        told = {name: word.started_at for name, word in current.items() if word.started_at is not None}
-        return {**self._seen, **told}
+        return starts
--- a/micadeck/network/port.py
+++ b/micadeck/network/port.py
@@ -28,6 +28,12 @@
     return host.strip("[]"), number
 
 
+def place(address: Address) -> str:
+    """An address as `parse_address` takes it."""
+    host, port = address
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
 class Timer(Protocol):
     """A call that is due later."""
 
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from magpiemux.interface import Discovery
 from micadeck.config import Config
@@ -11,9 +12,12 @@
 from micadeck.http.frontend import ClientLimits, Frontend
 from micadeck.http.upstream import Upstream
 from micadeck.membership.roster import Roster
-from micadeck.network import Network
+from micadeck.network import Network, place
 from micadeck.peers import Peers
 
+if TYPE_CHECKING:
+    from micadeck.membership.sources import Sources
+
 _RESERVED = 48  # descriptors for everything but clients and servers
 _FOR_CLIENTS = 0.5  # of the rest
 _REQUESTS_OF_MEMORY = (1 << 20) // 8  # for each MB of the limit: what unanswered requests may take of it
@@ -41,13 +45,27 @@
         self.network = network
         self._log = log
         self.upstream = Upstream(network, settings)
-        self.roster = Roster(
-            network, config.discovery, config.known.version, settings.discovery is Discovery.PUSHED
+        is_pushed = settings.discovery is Discovery.PUSHED
+        self.roster = (
+            Roster(network, config.discovery, config.known.version, is_pushed) if config.discovery else None
         )
+        self.sources = self._with_consul(config)
+        source = self.sources or self.roster
+        assert source is not None  # the configuration has one of them
         self.peers = Peers(network, config.peers, config.peers_all, settings.me)
-        self.engine = make_engine(settings, config.seed, network, self.upstream, self.roster, self.peers, log)
+        self.engine = make_engine(settings, config.seed, network, self.upstream, source, self.peers, log)
         self._divide_descriptors()
 
+    def _with_consul(self, config: Config) -> Sources | None:
+        """The roster and Consul as one source; without Consul, nothing of it is loaded."""
+        if config.consul is None:
+            return None
+        from micadeck.membership.sources import Sources
+
+        return Sources(
+            self.network, self.roster, config.known, config.consul, config.seed, config.name, self._log
+        )
+
     async def start(self) -> None:
         """Take up the last known list."""
         config = self.config
@@ -58,14 +76,25 @@
     def reload(self, config: Config) -> None:
         """Take over what a new configuration may change in a running engine; name what it may not."""
         before = self.config
-        if config.discovery != before.discovery:
+        kept = [key for key in _ONLY_AT_START if getattr(config, key) != getattr(before, key)]
+        # Whether there is a roster, and whether Consul, is settled at the start.
+        kept += [
+            key
+            for key in ("discovery", "consul")
+            if (getattr(config, key) is None) != (getattr(before, key) is None)
+        ]
+        if self.roster is not None and config.discovery not in (None, before.discovery):
             self.roster.move(config.discovery)
+        if self.sources is not None and config.consul not in (None, before.consul):
+            self.sources.reload(config.consul)
         self.peers.rename(config.peers, config.peers_all)
-        kept = [key for key in _ONLY_AT_START if getattr(config, key) != getattr(before, key)]
         self.config = replace(config, **{key: getattr(before, key) for key in kept})
         self._divide_descriptors()
         waits = f"; only a restart takes up {', '.join(kept)}" if kept else ""
-        self._log(f"reloaded: discovery at {config.discovery[0]}:{config.discovery[1]}{waits}")
+        places = [place(config.discovery)] if config.discovery else []
+        if config.consul is not None:
+            places += [f"consul ({', '.join(each.name for each in config.consul.services)})"]
+        self._log(f"reloaded: discovery at {' and '.join(places)}{waits}")
 
     def _divide_descriptors(self) -> None:
         room = self.config.sockets - _RESERVED
--- a/tests/test_consul_choices.py
+++ b/tests/test_consul_choices.py
@@ -312,7 +312,8 @@
 
 
 def _heard(restarts: Restarts, now: int, *entries: dict[str, Any]) -> dict[str, int]:
-    return restarts.heard(now, words(read(*entries))[0])
+    told = words(read(*entries))[0]
+    return restarts.heard(now, told, {("10.0.0.1", 80)} - {each.address for each in told})
 
 
 CRITICAL = (("c", "critical"),)
--- a/tests/test_consul_show.py
+++ b/tests/test_consul_show.py
@@ -112,7 +112,8 @@
         child = await _command(path)
         out, err = await soon(child.communicate())
         assert (child.returncode, err) == (0, b"")
-        head, *lines = out.decode().strip().splitlines()
+        agent_line, head, *lines = out.decode().strip().splitlines()
+        assert agent_line.startswith(f"# agent {agent.address}: agent-one in dc1, Consul standin, leader ")
         assert head.split() == ["NODE", "SOURCE", "STATE", "AGE", "WHY"]
         assert [each.split()[0:4] for each in lines] == [
             ["10.0.0.1:80", "tariff:", "ready", "ready"],
--- a/tests/test_consul_source.py
+++ b/tests/test_consul_source.py
@@ -34,19 +34,29 @@
             self.network, Agents(tuple(parse_address(each.address) for each in agents)), Ask()
         )
         self.watch: ServiceWatch = watch(
-            self.network, client, "tariff", self._heard, self.failures.append, seed=3, wait_s=wait_s
+            self.network,
+            client,
+            "tariff",
+            self._believes_empty,
+            self._heard,
+            self.failures.append,
+            seed=3,
+            wait_s=wait_s,
         )
         self.watch.start()
 
-    def _heard(self, heard: Heard) -> bool:
+    def _believes_empty(self, agent: str) -> bool:
         self.lists += 1
+        return self.merge.believes_empty(self.network.now() / 1e6, "consul", agent)
+
+    async def _heard(self, heard: Heard) -> None:
+        self.lists += heard.news.count > 0
         now = self.network.now() / 1e6
-        believed = self.merge.heard(now, "consul", heard.sightings, lag_s=heard.lag_s, agent=heard.agent)
+        self.merge.changed(now, "consul", heard.news.sightings, heard.news.gone, lag_s=heard.lag_s)
         changes = self.merge.changes(now)
         for entry in changes.entries if changes is not None else ():
             self.states[entry.listed.server] = (entry.listed.state, time.monotonic())
             self.starts[entry.listed.server] = entry.listed.started_at
-        return believed
 
     def used(self) -> set[str]:
         return {name for name, (state, _) in self.states.items() if state is ServerState.READY}
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -23,6 +23,7 @@
     ("micadeck.sidecar",),
     ("micadeck.library",),
     ("micadeck.asgi", "micadeck.httpx", "micadeck.__main__", "micadeck"),
+    ("micadeck.cli",),
     ("micadeck.standins",),
 ]
 CLOCKS_AND_SOCKETS = {"time", "socket", "select", "selectors", "datetime", "uvloop"}
@@ -87,5 +88,5 @@
     told = subprocess.run(
         [sys.executable, "-c", probe], cwd=ROOT.parent, capture_output=True, text=True, check=True
     ).stdout
-    for each in ("library", "asgi", "micadeck.httpx", "standins"):
+    for each in ("library", "asgi", "micadeck.httpx", "standins", "consul", "sources", "micadeck.cli"):
         assert each not in told
