Run the daemon's suite in its three ways for real, and with Consul and both as well

Cause: the suite's way of being reached was added to a test's fixtures at collection, which pytest does not set up: every "library" and "middleware" case ran against the daemon, and could not fail. Found when a case for Consul passed with Consul's source broken on purpose.

Change: the fixture is set up for each test. Four cases then failed, none for a fault of the program: a library's waiter hears a moment before the account is closed, and three raw requests never come to the middleware (another application's, HTTP/1.0 and absolute targets, which the host's server takes). The tests that meet the list of servers run twice more: told by Consul alone, and by roster and Consul together. That found one fault: a source that was not heard yet took a remembered start time away, and a server's connections with it.

The stand-in keeps indexed tables and a follower that replays the leader's log in place of copies of its state, knows the reads that real clients make, the key-value store, and Go's forms of truth (True ended a maintenance before).

--- a/micadeck/membership/merge.py
+++ b/micadeck/membership/merge.py
@@ -428,6 +428,7 @@
 
     def _one(self, address: Address, words: list[tuple[str, Sighting]]) -> Entry:
         caution = max(sighting.caution for _, sighting in words)
+        told = self._told.get(address)
         starts = [sighting.started_at for _, sighting in words if sighting.started_at is not None]
         listed = ListedServer(
             server=self._name(address, words),
@@ -436,7 +437,8 @@
             cell=next((each.cell for _, each in words if each.cell), 0),
             state=ServerState.READY if caution is Caution.READY else ServerState.DRAINING,
             nominal=min(each.weight for _, each in words),
-            started_at=max(starts, default=None),  # the later start is the more cautious word
+            # The later start is the more cautious word; that nobody tells it any more is no other start.
+            started_at=max(starts, default=told.listed.started_at if told is not None else None),
         )
         return Entry(listed, address)
 
--- a/micadeck/standins/consul.py
+++ b/micadeck/standins/consul/server.py
@@ -1,26 +1,21 @@
-"""A stand-in for Consul: catalogue, health and blocking queries on one port, and faults on command.
-
-Written from https://developer.hashicorp.com/consul/api-docs (agent, catalog, health, status, blocking
-queries, consistency).  `python -m micadeck.standins.consul` prints its address, and serves till input ends.
-`PUT /_standin/fault` with `{"kind": ..., "times": N}` makes the next N reads go wrong; see `Fault`.
-"""
+"""The stand-in's HTTP: what is asked, what is answered, and what goes wrong on command."""
 
 from __future__ import annotations
 
 import asyncio
-import copy
+import base64
 import gzip
 import json
 import random
-import sys
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
-HOST = "127.0.0.1"
+from micadeck.standins.consul.state import HOST, NODE, State
+
 _WAIT_S, _WAIT_MOST_S = 300.0, 600.0
-NODE = "agent-one"
 
 
 @dataclass
@@ -40,146 +35,75 @@
     to: str = ""
 
 
-class State:
-    """The catalogue as the leader has it."""
-
-    def __init__(self) -> None:
-        self.index = 10
-        self.nodes: dict[str, dict[str, Any]] = {}
-        self.services: dict[tuple[str, str], dict[str, Any]] = {}  # by node and id
-        self.checks: dict[tuple[str, str], dict[str, Any]] = {}  # by node and id
-        self.changed: dict[str, int] = {}  # the index of the last change to a service's instances
-
-    # Each change is one step of the index, and touches the services that it concerns.
-
-    def touch(self, *names: str) -> None:
-        self.index += 1
-        for name in names:
-            self.changed[name] = self.index
-
-    def service_index(self, name: str) -> int:
-        """A service that never was waits on the index of all: no change of its own can come first."""
-        return self.changed.get(name, self.index)
-
-    def names_on(self, node: str, service_id: str = "") -> list[str]:
-        return [
-            each["Service"]
-            for (on, ident), each in self.services.items()
-            if on == node and service_id in ("", ident)
-        ]
-
-    def put_node(self, name: str, address: str, ident: str = "", meta: dict[str, str] | None = None) -> None:
-        before = self.nodes.get(name)
-        ident = ident or (before or {}).get("ID") or f"{random.getrandbits(128):032x}"
-        self.nodes[name] = {"ID": ident, "Node": name, "Address": address, "Meta": meta or {}}
-        if before != self.nodes[name]:
-            self.touch(*self.names_on(name))
-
-    def put_service(self, node: str, given: dict[str, Any]) -> None:
-        name = given.get("Service") or given["Name"]
-        ident = given.get("ID") or name
-        self.services[node, ident] = {
-            "ID": ident,
-            "Service": name,
-            "Tags": given.get("Tags") or [],
-            "Address": given.get("Address") or "",
-            "TaggedAddresses": given.get("TaggedAddresses"),
-            "Meta": given.get("Meta") or {},
-            "Port": given.get("Port") or 0,
-            "Weights": given.get("Weights") or {"Passing": 1, "Warning": 1},
-        }
-        self.touch(name)
-        self.services[node, ident]["ModifyIndex"] = self.index
-
-    def put_check(self, node: str, ident: str, status: str, service_id: str = "", output: str = "") -> None:
-        self.checks[node, ident] = {
-            "Node": node,
-            "CheckID": ident,
-            "Name": ident,
-            "Status": status,
-            "Output": output,
-            "ServiceID": service_id,
-        }
-        self.touch(*self.names_on(node, service_id))
-
-    def drop_check(self, node: str, ident: str) -> None:
-        gone = self.checks.pop((node, ident), None)
-        if gone is not None:
-            self.touch(*self.names_on(node, gone["ServiceID"]))
-
-    def drop_service(self, node: str, ident: str) -> bool:
-        gone = self.services.pop((node, ident), None)
-        if gone is None:
-            return False
-        self.checks = {
-            key: each for key, each in self.checks.items() if key[0] != node or each["ServiceID"] != ident
-        }
-        self.touch(gone["Service"])
-        return True
+class NotFound(Exception):
+    """There is no such thing: 404."""
 
-    def drop_node(self, name: str) -> None:
-        for node, ident in [key for key in self.services if key[0] == name]:
-            self.drop_service(node, ident)
-        self.checks = {key: each for key, each in self.checks.items() if key[0] != name}
-        self.nodes.pop(name, None)
-        self.touch()
-
-    # Reads
-
-    def health(self, name: str, *, passing: bool = False) -> list[dict[str, Any]]:
-        entries = []
-        for (node, ident), service in self.services.items():
-            if service["Service"] != name:
-                continue
-            checks = [
-                each
-                for (on, _), each in self.checks.items()
-                if on == node and each["ServiceID"] in ("", ident)
-            ]
-            if passing and any(each["Status"] != "passing" for each in checks):
-                continue
-            entries.append({"Node": self.nodes[node], "Service": service, "Checks": checks})
-        return entries
-
-    def catalog(self, name: str) -> list[dict[str, Any]]:
-        return [
-            {
-                "ID": self.nodes[node]["ID"],
-                "Node": node,
-                "Address": self.nodes[node]["Address"],
-                "NodeMeta": self.nodes[node]["Meta"],
-                "ServiceID": ident,
-                "ServiceName": name,
-                "ServiceTags": service["Tags"],
-                "ServiceAddress": service["Address"],
-                "ServiceTaggedAddresses": service["TaggedAddresses"],
-                "ServiceMeta": service["Meta"],
-                "ServicePort": service["Port"],
-                "ServiceWeights": service["Weights"],
-                "ModifyIndex": service["ModifyIndex"],
-            }
-            for (node, ident), service in self.services.items()
-            if service["Service"] == name
-        ]
 
+def _look(state: State, path: str, query: dict[str, str], tags: list[str]) -> Any:
+    """What a read answers; raise NotFound."""
+    kind, _, name = path.removeprefix("/v1/").rpartition("/")
+    match kind, name:
+        case "health/service", _:
+            return state.health(name, passing="passing" in query, tags=tags)
+        case "catalog/service", _:
+            return state.catalog(name, tags)
+        case "catalog", "nodes":
+            return list(state.nodes.values())
+        case "catalog", "services":
+            return state.names()
+        case "catalog", "datacenters":
+            return ["dc1"]
+        case "catalog/node", _:
+            node = state.nodes.get(name)
+            return {"Node": node, "Services": state.on_node(name)} if node else None
+        case "health/node", _:
+            return state.checks_on(name)
+        case "health/checks", _:
+            return state.checks_of_service(name)
+        case "health/state", "any" | "passing" | "warning" | "critical":
+            return [row for row in state.checks.values() if name in ("any", row["Status"])]
+        case _ if path.startswith("/v1/kv/"):
+            return _look_for_keys(state, path.removeprefix("/v1/kv/"), query)
+        case _:
+            raise NotFound(path)
+
+
+def _look_for_keys(state: State, key: str, query: dict[str, str]) -> Any:
+    is_prefix = "recurse" in query or "keys" in query
+    rows = [
+        row for each, row in sorted(state.keys.items()) if each == key or (is_prefix and each.startswith(key))
+    ]
+    if not rows:
+        raise NotFound("")
+    if "raw" in query:
+        return base64.b64decode(rows[0]["Value"] or "")
+    return [row["Key"] for row in rows] if "keys" in query else rows
 
-class NotFound(Exception):
-    """There is no such thing: 404."""
+
+def _is_true(text: str) -> bool:
+    """The forms in which Go reads a truth; raise ValueError on any other."""
+    if text in ("1", "t", "T", "TRUE", "true", "True"):
+        return True
+    if text in ("0", "f", "F", "FALSE", "false", "False"):
+        return False
+    raise ValueError(f"enable: {text!r:.40} is neither true nor false")
 
 
 class StandInConsul:
     """One server that is also its agent."""
 
     def __init__(self, *, tokens: set[str] | None = None) -> None:
-        self.state = State()
-        self.state.put_node(NODE, HOST)
+        self.state = State()  # the leader's
+        self._follower = State()
+        for each in (self.state, self._follower):
+            each.put_node(NODE, HOST)
         self.tokens = tokens  # None: no access control
         self.has_leader = True
         self.stale_by_s = 0.0  # how far a read in stale mode lies behind
         self.faults: list[Fault] = []
         self.reads = 0  # of catalogue and health
         self._news = asyncio.Event()
-        self._past: list[tuple[float, State]] = []
+        self._log: deque[tuple[float, Callable[[State], object]]] = deque()  # what the follower has to do yet
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -198,14 +122,17 @@
         for writer in self._writers:
             writer.transport.abort()
 
-    def change(self, make: Callable[[State], object]) -> None:
-        """Change the catalogue, and wake whoever waits for that."""
-        now = asyncio.get_running_loop().time()
-        self._past.append((now, copy.deepcopy(self.state)))
-        self._past = [each for each in self._past if each[0] > now - max(self.stale_by_s, 1.0) - 1.0]
-        make(self.state)
+    def change(self, make: Callable[[State], object]) -> Any:
+        """Change the catalogue, and wake whoever waits for that; give what the change gave.
+
+        A follower does the same later, as with a log that is replicated: `make` must do the same each time.
+        """
+        self._log.append((asyncio.get_running_loop().time(), make))
+        self._follow()
+        result = make(self.state)
         self._news.set()
         self._news = asyncio.Event()
+        return result
 
     def restart_empty(self) -> None:
         """What an agent is that lost its data: no services, and an index that begins anew."""
@@ -216,14 +143,17 @@
 
         self.change(forget)
 
+    def _follow(self) -> None:
+        before = asyncio.get_running_loop().time() - self.stale_by_s
+        while self._log and self._log[0][0] <= before:
+            self._log.popleft()[1](self._follower)
+
     def _seen(self, is_stale: bool) -> State:
-        """The catalogue as a follower that lags has it."""
-        if is_stale and self.stale_by_s > 0:
-            before = asyncio.get_running_loop().time() - self.stale_by_s
-            for at, state in self._past:
-                if at > before:
-                    return state  # as it was until then
-        return self.state
+        """The catalogue as the leader has it, or a follower that lags."""
+        if not is_stale or not self.stale_by_s:
+            return self.state
+        self._follow()
+        return self._follower
 
     # HTTP
 
@@ -251,8 +181,9 @@
         """Write one answer; whether the connection goes on."""
         parts = urlsplit(target)
         path = unquote(parts.path)
-        query = {name: values[-1] for name, values in parse_qs(parts.query, keep_blank_values=True).items()}
-        is_read = path.startswith(("/v1/catalog/", "/v1/health/")) and method == "GET"
+        several = parse_qs(parts.query, keep_blank_values=True)
+        query = {name: values[-1] for name, values in several.items()}
+        is_read = path.startswith(("/v1/catalog/", "/v1/health/", "/v1/kv/")) and method == "GET"
         self.reads += is_read
         fault = self._next_fault() if is_read else None
         if fault is not None and fault.kind not in ("truncated", "index", "reset", "trickle", "huge"):
@@ -266,14 +197,15 @@
             return True
         try:
             if is_read:
-                index, result = await self._read(path, query)
+                index, result = await self._read(path, query, several.get("tag", []))
+            elif path.startswith("/v1/kv/"):
+                index, result = 0, self._write_key(method, path.removeprefix("/v1/kv/"), query, body)
             else:
-                index, result = (
-                    0,
-                    self._write_or_tell(method, path, query, _canonical(json.loads(body or b"null"))),
-                )
+                given = _canonical(json.loads(body or b"null"))
+                index, result = 0, self._write_or_tell(method, path, query, given)
         except NotFound as missing:
-            _write(writer, 404, str(missing).encode())
+            told = {"X-Consul-Index": str(self._index(self._seen("stale" in query), path))} if is_read else {}
+            _write(writer, 404, str(missing).encode(), told)
             return True
         except (KeyError, TypeError, ValueError) as nonsense:
             _write(writer, 400, f"Request decode failed: {nonsense!r}".encode())
@@ -285,7 +217,7 @@
                 "X-Consul-KnownLeader": "true" if self.has_leader else "false",
                 "X-Consul-LastContact": str(int(self.stale_by_s * 1_000) if "stale" in query else 0),
             }
-        raw = b"" if result is None else json.dumps(result).encode()
+        raw = b"" if result is None else result if isinstance(result, bytes) else json.dumps(result).encode()
         if fault is not None and fault.kind != "index":
             return await self._go_wrong(fault, target, writer, raw, told)
         if "gzip" in headers.get("accept-encoding", "") and len(raw) > 1_024:
@@ -337,25 +269,15 @@
 
     # What is asked
 
-    async def _read(self, path: str, query: dict[str, str]) -> tuple[int, Any]:
-        kind, name = path.removeprefix("/v1/").rsplit("/", 1)
+    async def _read(self, path: str, query: dict[str, str], tags: list[str]) -> tuple[int, Any]:
+        if "filter" in query:
+            raise ValueError("the stand-in knows no filters")
         asked = int(query.get("index", "0"))
         is_stale = "stale" in query
         loop = asyncio.get_running_loop()
         wait_s = min(_seconds(query.get("wait", "")) or _WAIT_S, _WAIT_MOST_S)
         until = loop.time() + wait_s + random.random() * wait_s / 16
-
-        def look() -> tuple[int, Any]:
-            state = self._seen(is_stale)
-            if kind == "health/service":
-                return state.service_index(name), state.health(name, passing="passing" in query)
-            if kind == "catalog/service":
-                return state.service_index(name), state.catalog(name)
-            if path == "/v1/catalog/nodes":
-                return state.index, list(state.nodes.values())
-            raise NotFound(path)
-
-        index, result = look()
+        index = self._index(self._seen(is_stale), path)
         while asked and index == asked and loop.time() < until:
             # A follower that lags changes by the passing of time alone.
             step_s = 0.05 if is_stale and self.stale_by_s else until - loop.time()
@@ -365,14 +287,35 @@
                     await news.wait()
             except TimeoutError:
                 pass
-            index, result = look()
-        return index, result
+            index = self._index(self._seen(is_stale), path)
+        return index, _look(self._seen(is_stale), path, query, tags)
+
+    @staticmethod
+    def _index(state: State, path: str) -> int:
+        kind, _, name = path.removeprefix("/v1/").rpartition("/")
+        if kind in ("health/service", "health/checks", "catalog/service"):
+            return state.service_index(name)
+        return state.keys_changed if path.startswith("/v1/kv/") else state.index
+
+    def _write_key(self, method: str, key: str, query: dict[str, str], body: bytes) -> bool:
+        cas = int(query["cas"]) if "cas" in query else None
+        if method == "PUT":
+            flags = int(query.get("flags", "0"))
+            return bool(self.change(lambda state: state.put_key(key, body, flags, cas)))
+        if method == "DELETE":
+            recurse = "recurse" in query
+            return bool(self.change(lambda state: state.drop_keys(key, recurse=recurse, cas=cas)))
+        raise NotFound(f"{method} of a key")
 
     def _write_or_tell(self, method: str, path: str, query: dict[str, str], given: Any) -> Any:
         if (method, path) == ("GET", "/v1/status/leader"):
             return f"{HOST}:8300" if self.has_leader else ""
         if (method, path) == ("GET", "/v1/agent/self"):
             return {"Config": {"Datacenter": "dc1", "NodeName": NODE, "Version": "standin"}, "Member": {}}
+        if (method, path) == ("GET", "/v1/agent/services"):
+            return self.state.on_node(NODE)
+        if (method, path) == ("GET", "/v1/agent/checks"):
+            return {row["CheckID"]: row for row in self.state.checks_on(NODE)}
         if method != "PUT":
             raise NotFound(path)
         if path == "/_standin/fault":
@@ -395,7 +338,7 @@
         elif head == "/v1/agent/service/maintenance" or path == "/v1/agent/maintenance":
             service_id = ident if path != "/v1/agent/maintenance" else ""
             name = f"_service_maintenance:{service_id}" if service_id else "_node_maintenance"
-            if query["enable"] == "true":
+            if _is_true(query["enable"]):
                 change = lambda state: state.put_check(NODE, name, "critical", service_id)  # noqa: E731
             else:
                 change = lambda state: state.drop_check(NODE, name)  # noqa: E731
@@ -482,13 +425,3 @@
 
 def _write(writer: asyncio.StreamWriter, status: int, raw: bytes, told: dict[str, str] | None = None) -> None:
     writer.write(_worded(status, raw, told))
-
-
-async def _main() -> None:
-    consul = await StandInConsul().start()
-    print(consul.address, flush=True)
-    await asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
-
-
-if __name__ == "__main__":
-    asyncio.run(_main())
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,8 +12,13 @@
 def pytest_generate_tests(metafunc: pytest.Metafunc) -> None:
     if metafunc.module.__name__ in ways.SUITE:
         everywhere = metafunc.function.__name__ not in ways.HTTP_ONLY
-        metafunc.fixturenames.append("way")
-        metafunc.parametrize("way", ways.WAYS if everywhere else ways.WAYS[:1], indirect=True)
+        given = list(ways.WAYS if everywhere else ways.WAYS[:1])
+        if (
+            metafunc.module.__name__ in ways.WITH_CONSUL
+            and metafunc.function.__name__ not in ways.ROSTER_ONLY
+        ):
+            given += ways.CONSUL_WAYS
+        metafunc.parametrize("way", given, indirect=True)
 
 
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
@@ -29,11 +34,13 @@
     given = item.callspec.params
     raw = given["raw"]
     assert isinstance(raw, bytes)
-    return given["way"] != "daemon" and not ways.parsed(raw)
+    return not ways.takes(str(given["way"]), raw)
 
 
-@pytest.fixture
+@pytest.fixture(autouse=True)  # a name added to a test's fixtures at collection is not set up
 def way(request: pytest.FixtureRequest) -> Iterator[str]:
-    loopback.way = request.param
-    yield request.param
-    loopback.way = "daemon"
+    asked: str = getattr(request, "param", "daemon")
+    loopback.way, _, members = asked.partition(" by ")
+    loopback.members = members or "roster"
+    yield asked
+    loopback.way, loopback.members = "daemon", "roster"
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -6,6 +6,7 @@
 import json
 import os
 import socket
+import tempfile
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -15,8 +16,10 @@
 
 from micadeck.config import parse
 from micadeck.http.frontend import ClientLimits
+from micadeck.standins.consul import NODE, StandInConsul, State
 
 way = "daemon"  # how the stage's balancer is reached; `ways` says which there are
+members = "roster"  # who tells it of servers: the roster, Consul, or both
 
 HOST = "127.0.0.1"
 PATIENCE_S = 20.0  # how long a test waits for what must come; never what it measures
@@ -159,6 +162,80 @@
         )
 
 
+class ConsulDiscovery:
+    """The same servers and changes, told by a stand-in Consul."""
+
+    def __init__(self) -> None:
+        self.servers: list[dict[str, Any]] = []
+        self.consul = StandInConsul()
+
+    async def start(self, port: int = 0) -> ConsulDiscovery:
+        await self.consul.start(port)
+        for each in self.servers:
+            self.tell(each)
+        return self
+
+    @property
+    def address(self) -> str:
+        return self.consul.address
+
+    @property
+    def heard(self) -> list[str]:
+        return ["read"] * self.consul.reads
+
+    def tell(self, *changed: dict[str, Any]) -> None:
+        for each in changed:
+            self.consul.change(lambda state, each=each: self._put(state, each))  # type: ignore[misc]
+
+    @staticmethod
+    def _put(state: State, told: dict[str, Any]) -> None:
+        name, maintenance = told["id"], f"_service_maintenance:{told['id']}"
+        if told["state"] == "left":
+            state.drop_service(NODE, name)
+            return
+        host, _, port = told["addr"].rpartition(":")
+        started = told.get("started_ms", 0) + 1  # long ago: without a word on it, a new one is cold
+        meta = {"zone": told["zone"], "cell": str(told["cell"]), "started_ms": str(started)}
+        service = {"Name": "tariff", "ID": name, "Address": host, "Port": int(port), "Meta": meta}
+        state.put_service(NODE, service)
+        if told["state"] == "leaving":
+            state.put_check(NODE, maintenance, "critical", name)
+        else:
+            state.drop_check(NODE, maintenance)
+
+    def stop(self) -> None:
+        self.consul.stop()
+
+
+class BothDiscovery(ScriptedDiscovery):
+    """A roster and a Consul that say the same."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.beside = ConsulDiscovery()
+
+    async def start(self, port: int = 0) -> ScriptedServer:
+        self.beside.servers = self.servers
+        await self.beside.start()
+        return await super().start(port)
+
+    def tell(self, *changed: dict[str, Any]) -> None:
+        super().tell(*changed)
+        self.beside.tell(*changed)
+
+    def stop(self) -> None:
+        super().stop()
+        self.beside.stop()
+
+
+def consul_config(*agents: str, **service: Any) -> str:
+    """The path of a file that names these agents and one service."""
+    given = {"agents": agents, "services": [{"name": "tariff", **service}], "wait_s": 10, "spread_s": 0}
+    with tempfile.NamedTemporaryFile("w", suffix=".json", prefix="consul-", delete=False) as file:
+        json.dump(given, file)
+    return file.name
+
+
 def reply(body: bytes, status: str = "200 OK") -> bytes:
     return b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status.encode(), len(body), body)
 
@@ -228,7 +305,7 @@
     """A sidecar with scripted ends."""
 
     way: Any
-    discovery: ScriptedDiscovery
+    discovery: Any  # a ScriptedDiscovery, or one that tells the same by other means
     servers: list[ScriptedServer]
     log: list[str]
     clients: list[Any] = field(default_factory=list)
@@ -261,17 +338,19 @@
 ) -> AsyncIterator[Stage]:
     """A sidecar, its discovery and one server for each script, all known to it from the start."""
     servers = [await ScriptedServer(script).start() for script in scripts]
-    discovery = ScriptedDiscovery()
+    discovery: Any = {"roster": ScriptedDiscovery, "consul": ConsulDiscovery, "both": BothDiscovery}[
+        members
+    ]()
     if listed:
         discovery.servers = [line(f"s-{index}", each.address) for index, each in enumerate(servers)]
     await discovery.start()
     limits = {"sendCap": 3, "mayCancel": True, "retryAfter": True, "dialTimeoutUs": 1_000_000}
-    config = {
+    config: dict[str, Any] = {
         "name": "n0",
         "listen": f"{HOST}:0",
         "discovery": discovery.address,
         "seed": "8c1f",
-        "known": {"version": 1, "full": True, "servers": discovery.servers},
+        "known": {"version": 1, "full": True, "servers": list(discovery.servers)},
         "settings": {
             "lanes": CLASSES,
             "zone": "a",
@@ -283,6 +362,12 @@
         },
         **(given or {}),
     }
+    consul = {"consul": discovery, "both": getattr(discovery, "beside", None)}.get(members)
+    if consul is not None:
+        config["consul"] = consul_config(consul.address, doubt_s=0)
+        config["known"]["servers"] = [{**each, "started_ms": 1} for each in discovery.servers]
+        if members == "consul":
+            del config["discovery"]
     log: list[str] = []
     from ways import STARTED  # it is made of what stands here
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -31,7 +31,7 @@
         async with stage(answer) as scene:
             assert (await scene.ask("lodge")).status == status
             assert len(scene.heard) == 1
-            assert at_the_sidecar(scene) == 0
+            await until(lambda: at_the_sidecar(scene) == 0)  # a library's waiter hears a moment sooner
 
     play(work)
 
--- a/tests/ways.py
+++ b/tests/ways.py
@@ -24,6 +24,12 @@
 
 WAYS = ("daemon", "library", "middleware")
 SUITE = ("test_frontend", "test_program", "test_resting", "test_sidecar", "test_upstream")
+# The daemon's tests that meet the list of servers run again with Consul in the roster's place, and beside it.
+CONSUL_WAYS = ("daemon by consul", "daemon by both")
+WITH_CONSUL = ("test_sidecar", "test_upstream")
+ROSTER_ONLY = {
+    "test_idle_connections_are_closed_the_list_is_fetched_and_lines_are_logged": "how the roster is asked",
+}
 
 _ROOM = "connections of clients, their number and rest: the host's server holds them"
 _BYTES = "bytes of HTTP that no parsed request can stand for: the host's server reads them"
@@ -64,6 +70,20 @@
     return [] if reader.fault is not None else list(reader.requests)
 
 
+def takes(way: str, raw: bytes) -> bool:
+    """Whether these bytes come to the balancer at all, reached in this way."""
+    if way == "daemon":
+        return True
+    requests = parsed(raw)
+    if way == "library":
+        return bool(requests)
+    # The host's server takes HTTP/1.0 and absolute targets itself, and the middleware leaves to the
+    # application what names none of its headers.
+    if b" HTTP/1.1" not in raw or any(not each.target.startswith(b"/") for each in requests):
+        return False
+    return any(name.startswith(b"request-") for each in requests for name, _ in each.headers)
+
+
 class Way(Protocol):
     """A started balancer, and how its clients reach it."""
 
