--- a/tests/test_consul_show.py
+++ b/tests/test_consul_show.py
@@ -166,3 +166,18 @@
 
 def agent_place(path: Path) -> str:
     return str(json.loads(path.read_text())["agents"][0])
+
+
+def test_the_example_can_be_used_and_a_file_may_be_toml(tmp_path: Path) -> None:
+    example = load(ROOT / "deploy" / "consul.json")
+    (service,) = example.services
+    assert (service.name, service.names.in_zone) == (
+        "tariff",
+        "other-site",
+    ) and service.trust.lent is not None
+    path = tmp_path / "consul.toml"
+    path.write_text('agents = ["127.0.0.1:8500"]\n[[services]]\nname = "tariff"\nfrom = "catalog"\n')
+    assert load(path).services[0].of_catalog
+    path.write_text('agents = "127.0.0.1:8500"\n')
+    with pytest.raises(ConsulConfigError, match=r"^agents"):
+        load(path)
