--- a/tests/test_consul_daemon.py
+++ b/tests/test_consul_daemon.py
@@ -47,7 +47,7 @@
             each.change(make)
 
     def register(self, number: int, **meta: str) -> None:
-        self.change(lambda state: register(state, number, self.servers[number].address, **meta))
+        self.change(lambda state: register(state, number, self.servers[number].address, 1, **meta))
 
     def drain(self, number: int) -> None:
         ident = f"t-{number}"
@@ -92,9 +92,10 @@
         self.sidecar.reload(parse(self.config))
 
 
-def register(state: State, number: int, address: str, **meta: str) -> None:
+def register(state: State, number: int, address: str, weight: int = 1, **meta: str) -> None:
     host, _, port = address.rpartition(":")
-    service = {"Name": "tariff", "ID": f"t-{number}", "Address": host, "Port": int(port)}
+    service: dict[str, Any] = {"Name": "tariff", "ID": f"t-{number}", "Address": host, "Port": int(port)}
+    service["Weights"] = {"Passing": weight, "Warning": weight}
     state.put_service(NODE, {**service, "Meta": {"zone": "a", "started_ms": "1", **meta}})
     state.put_check(NODE, f"service:t-{number}", "passing", f"t-{number}")
 
@@ -278,13 +279,18 @@
             await until(lambda: any(each.startswith("ejected") for each in scene.log))
             await soon(asyncio.gather(*askers))
             heard = len(hung.heard)
-            version = scene.sidecar._core.sources.merge.version  # type: ignore[union-attr]
-            for status in ("warning", "passing", "warning", "passing"):
-                reads = scene.consuls[0].reads
-                scene.check(2, status)
-                await until(lambda reads=reads: scene.consuls[0].reads > reads)  # type: ignore[misc]
+            merge = scene.sidecar._core.sources.merge  # type: ignore[union-attr]
+            for weight in (
+                2,
+                3,
+                4,
+                5,
+            ):  # its word is told anew to the decisions, each time with another weight
+                scene.change(lambda state, weight=weight: register(state, 2, hung.address, weight))  # type: ignore[misc]
+                await until(
+                    lambda weight=weight: weight in [e.listed.nominal for e in merge.whole().entries]  # type: ignore[misc]
+                )
                 assert set(await scene.statuses(5)) == {200}
-            assert scene.sidecar._core.sources.merge.version == version  # type: ignore[union-attr]
             assert len(hung.heard) <= heard + 1  # a trial, if one fell due
             assert not any(each.startswith("readmitted") for each in scene.log)
 
