Hold the window open while a fifth of the servers' cores is free

Cause: answers late by noise (resets, spoilt answers, retries) shrink the window, refusing lowers the load, and the window is held to that load.

Change: while reports show cores under 0.8 busy and at most 15 in 100 answers are late, the window does not shrink, and grows where it refused. Without reports, and past either figure, it works as before.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -99,6 +99,8 @@
 LATE_STEP = 0.02  # of the last fifty answers or so
 CORES_BUSY = 0.85  # while servers report their cores less busy than this, there is room for more
 CORES_SATURATED = 0.95  # cores this busy tell of overload before late answers do
+CORES_FREE = 0.8  # below this a fifth is free: what is late then is no sign of too many requests
+LATE_FREE = 0.15  # unless this part is late: something else than cores is short
 CORES_STEP = 0.1  # of the last ten reports or so
 FLOOR_CREEP = 0.0008  # the idle time may rise by this part of the aim at each answer
 FLOOR_CREEP_PRESSED = 0.00008  # and hardly while refusing
@@ -534,6 +536,9 @@
             # Late answers from servers with idle cores tell of a few slow ones, not of too many requests.
             # A busy balancer sees so by itself, and on crowded servers reports tell it too late.
             excess = min(excess, (self._cores - CORES_BUSY) / (1.0 - CORES_BUSY))
+        if self._cores is not None and self._cores < CORES_FREE and self._late < LATE_FREE:
+            # Guards against a window that its own refusals keep small: they lower the load it is held to.
+            excess = min(excess, -0.5)
         excess = max(-1.0, min(excess, 1.0))
         saturated = self._cores is not None and self._cores >= CORES_SATURATED
         if excess > 0.0 and self._late < LATE_ALLOWED and not saturated:
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -4,6 +4,7 @@
 
 import random
 from collections import Counter
+from collections.abc import Callable
 
 import pytest
 from helpers import MS, S, Stage, names, settings
@@ -411,7 +412,8 @@
     assert all(_late_with_reports(1.0, seed) > 30 for seed in seeds)
 
 
-def test_reported_cores_do_not_hold_the_window_open_where_many_are_in_flight() -> None:
+def _refused_of_600(late: Callable[[int], bool], cores: float, *, in_line: bool = False) -> int:
+    """Many in flight, each in 0.3 s or late in 0.55 s; in line: none is answered before those ahead of it."""
     stage = Stage()
     stage.servers(names(8))
     out: list[tuple[int, int]] = []
@@ -419,10 +421,24 @@
         stage.wait(10 * MS)
         request = stage.request()
         if stage.sends(request):
-            out.append((stage.now, request))
-        while out and stage.now - out[0][0] >= (550 if out[0][1] % 8 == 0 else 300) * MS:  # one in eight late
-            stage.end(out.pop(0)[1], attempt=0, report={"util": 0.5})
-    assert len(stage.said(Refuse)) > 50
+            out.append((stage.now + (550 if late(request) else 300) * MS, request))
+        due = [each for each in out if each[0] <= stage.now]
+        while due and (not in_line or out[0][0] <= stage.now):
+            each = out[0] if in_line else due[0]
+            out.remove(each)
+            due.remove(each)
+            stage.end(each[1], attempt=0, report={"util": cores})
+    return len(stage.said(Refuse))
+
+
+def test_reported_cores_do_not_hold_the_window_open_where_many_are_in_flight() -> None:
+    assert _refused_of_600(lambda n: n % 8 == 0, 0.5, in_line=True) > 50  # nearly half of them late
+
+
+def test_the_window_does_not_keep_itself_small_while_a_fifth_of_the_cores_is_free() -> None:
+    # Guards against noise that is taken for load: refusing lowers the load, and the window is held to that.
+    assert _refused_of_600(lambda n: n % 12 == 0, 0.6) <= 6
+    assert _refused_of_600(lambda n: n % 12 == 0, 0.9) > 50
 
 
 def test_silence_is_not_flattered_by_the_last_report() -> None:
