--- a/micadeck/membership/__main__.py
+++ b/micadeck/membership/__main__.py
@@ -14,7 +14,7 @@
 from rich.table import Table
 
 from micadeck.engine import Listing
-from micadeck.membership.consul import Agents, Ask, ConsulClient, ConsulError
+from micadeck.membership.consul import Agents, ConsulClient, ConsulError
 from micadeck.membership.consul.config import ConsulConfig, ConsulConfigError, load
 from micadeck.membership.sources import Sources
 from micadeck.network import LoopNetwork, place
@@ -42,7 +42,7 @@
     async def agents(self) -> None:
         """Say who each agent is, and what it has to say of its leader."""
         for address in self._config.agents:
-            client = ConsulClient(self._network, Agents((address,)), self._config.services[0].ask or Ask())
+            client = ConsulClient(self._network, Agents((address,)), self._config.services[0].ask)
             try:
                 self._told(f"agent {place(address)}: {await client.about()}")
             except ConsulError as fault:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -371,11 +371,15 @@
     log: list[str] = []
     from ways import STARTED  # it is made of what stands here
 
+    made = parse(config)
+    if "consul" in config:
+        os.unlink(config["consul"])  # it is read
+
     def noted(text: str) -> None:
         if not text.startswith("consul: agent "):  # of the daemon's start, not of what is tested
             log.append(text)
 
-    started = await STARTED[way](parse(config), noted, client_limits)
+    started = await STARTED[way](made, noted, client_limits)
     scene = Stage(started, discovery, servers, log)
     try:
         yield scene
--- a/tests/test_consul_client.py
+++ b/tests/test_consul_client.py
@@ -115,6 +115,19 @@
     played(work)
 
 
+def test_the_nodes_and_who_the_agent_is_are_read() -> None:
+    async def work(agent: StandInConsul) -> None:
+        client = _client(agent)
+        nodes, meta = await client.get("/v1/catalog/nodes")
+        assert [each["Node"] for each in nodes] == [NODE] and meta.index > 0
+        assert (await client.about()).startswith(f"{NODE} in dc1, Consul standin, leader ")
+        agent.has_leader = False
+        assert (await client.about()).endswith("without a leader")
+        client.close()
+
+    played(work)
+
+
 def test_an_agent_that_is_down_is_passed_over() -> None:
     async def work(agent: StandInConsul) -> None:
         _register(agent)
