Carry MySQL clients and servers on the engine: codec, log-in, sessions, pool, stand-in

Need: brokers' desk applications read tariff schedules over MySQL, and nobody wants a second, lesser balancer for them.

Change: micadeck/mysql, with a sans-I/O codec, both log-in plugins at both ends, statements read by sqlglot (what is not proved safe is unsafe), sessions kept at the sidecar, a pool, one table of what a lost statement's client gets, and a stand-in server over SQLite. The decision module gains requests bound to one server, which use a part of the grace to end there; the engine gains answers that have begun. Off unless the key `mysql` names a file.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -142,6 +142,7 @@
         "spoilt",
         "started_at",
         "state",
+        "state_at",
         "strikes",
         "trial",
         "zone",
@@ -155,6 +156,7 @@
         self.nominal = 1.0
         self.pace = 1.0  # how long it takes, relative to the usual
         self.state = ServerState.GONE
+        self.state_at = 0  # when it was heard
         self.started_at: int | None = None
         self.cold_since: int | None = None
         self.allowance = 0.0  # of a cold server: what may be sent to it now, in requests of mean cost
@@ -221,9 +223,23 @@
 class Request:
     """A request taken; it is kept until it is answered and its last attempt has ended."""
 
-    __slots__ = ("answer_by", "answered", "attempts", "cost", "ident", "kind", "said_full", "size", "tried")
+    __slots__ = (
+        "answer_by",
+        "answered",
+        "attempts",
+        "bound",
+        "cost",
+        "ident",
+        "kind",
+        "said_full",
+        "size",
+        "tried",
+    )
 
-    def __init__(self, ident: int, kind: ServiceClass, answer_by: int, cost: float) -> None:
+    def __init__(
+        self, ident: int, kind: ServiceClass, answer_by: int, cost: float, bound: str | None = None
+    ) -> None:
+        self.bound = bound  # the one server that can serve it
         self.ident = ident
         self.kind = kind
         self.answer_by = answer_by
@@ -423,6 +439,7 @@
     def _state_heard(self, server: Server, state: ServerState) -> None:
         heard, server.state = server.state is not state, state
         if heard:
+            server.state_at = self._now
             self._close_if_leaving(server)
 
     def _close_if_leaving(self, server: Server) -> None:
@@ -448,10 +465,11 @@
         self._arrivals.add(self._now, 1.0)
         self._extra = min(self._extra + EXTRA_PER_REQUEST, EXTRA_PER_REQUEST * EXTRA_SAVED)
         answer_by = self._now + event.remaining_us - TICKS_EARLY * self._settings.tick_us
-        request = Request(event.request, kind, answer_by, self._relative_cost(kind, event.cost_us))
+        cost = self._relative_cost(kind, event.cost_us)
+        request = Request(event.request, kind, answer_by, cost, event.bound)
         self._requests[event.request] = request
         self._schedule(answer_by, event.request, _WHOLE)
-        if self._overloaded_for(kind, event.tenant):
+        if event.bound is None and self._overloaded_for(kind, event.tenant):
             self._finish(request)
         else:
             self._place(request)
@@ -620,6 +638,8 @@
 
     def _choose(self, request: Request) -> Server | None:
         """Best of k: of k random distinct servers, the one with the fewest own requests in flight."""
+        if request.bound is not None:
+            return self._servers.get(request.bound) if not request.attempts else None  # no choice, one try
         trial = self._trial_due(request)
         if trial is not None:
             return trial
@@ -772,7 +792,7 @@
             return False  # rule 2
         if not self._may_run_again(request) or not self._in_group(request, server):
             return False  # rule 2
-        if server.state is not ServerState.READY:
+        if server.state is not ServerState.READY and not self._may_end_there(request, server):
             return False  # rule 3: at once on hearing, without use of the grace
         if not self._cold_room(server, request.cost):
             return False  # rule 4
@@ -786,12 +806,18 @@
         server.lines = max(server.lines, server.in_flight)
         self._pending += 1
         if server.ejected_until is not None:
-            server.trial = attempt
+            if request.bound is None:
+                server.trial = attempt
             self._stuck += 1
         self._schedule(self._now + self._patience(request, attempt), request.ident, attempt.index)
         self._actions.append(Send(request.ident, server.name, request.answer_by))
         return True
 
+    def _may_end_there(self, request: Request, server: Server) -> bool:
+        """Whether a draining server may still have what only it can serve: the rest of an open session."""
+        may = request.bound is not None and server.state is ServerState.DRAINING
+        return may and self._now < server.state_at + self._settings.rules.bound_grace_us
+
     def _may_run_again(self, request: Request) -> bool:
         """Whether the request's class lets another attempt out now."""
         first_maybe = next((each for each in request.attempts if each.may_have_run), None)
--- a/magpiemux/interface.py
+++ b/magpiemux/interface.py
@@ -161,6 +161,7 @@
     answer_slack_us: int = 0
     ask_within_us: int = 10_000_000
     drain_grace_us: int = 0
+    bound_grace_us: int = 0  # of that, from hearing of a drain: what bound requests may use
     cold_from: float = 0.1
     cold_us: int = 30_000_000
     fall_multiple: float = 1.0
@@ -274,6 +275,7 @@
                 answer_slack_us=rules.whole("answer_slack_us", 0),
                 ask_within_us=rules.whole("ask_within_us", 10_000_000, low=1),
                 drain_grace_us=rules.whole("drain_grace_us", 0),
+                bound_grace_us=rules.whole("bound_grace_us", 0),
                 cold_from=rules.number("cold_from", 0.1, low=0.001, high=1.0),
                 cold_us=rules.whole("cold_us", 30_000_000),
                 fall_multiple=rules.number("fall_multiple", 1.0, low=0.001),
@@ -447,6 +449,7 @@
     cost_us: int | None = None  # a hint of the work, where the client gave one
     client_retry: bool = False
     write: bool = False
+    bound: str | None = None  # the one server that can serve it, which holds its session
 
 
 @dataclass(slots=True)
--- a/micadeck/cli/__init__.py
+++ b/micadeck/cli/__init__.py
@@ -6,7 +6,7 @@
 
 import click
 
-_PARTS = {"membership": "micadeck.membership.__main__"}
+_PARTS = {"membership": "micadeck.membership.__main__", "mysql": "micadeck.mysql.__main__"}
 
 
 class _Parts(click.Group):
--- a/micadeck/config.py
+++ b/micadeck/config.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from micadeck.membership.consul.config import ConsulConfig
+    from micadeck.mysql.config import MysqlConfig
 
 _DEFAULT_SOCKETS = 1_024
 _DEFAULT_MEMORY_MB = 64
@@ -41,6 +42,7 @@
     peers: tuple[Address, ...]
     peers_all: Address | None
     consul: ConsulConfig | None = None
+    mysql: MysqlConfig | None = None
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -90,6 +92,7 @@
         peers=tuple(_address(f"peers[{index}]", each) for index, each in enumerate(peers)),
         peers_all=_optional_address("peers_all", given.get("peers_all")),
         consul=_consul(given.get("consul")),
+        mysql=_mysql(given.get("mysql")),
     )
 
 
@@ -116,6 +119,22 @@
         raise ConfigError(f"consul: {fault}") from None
 
 
+def _mysql(path: object) -> MysqlConfig | None:
+    """The file that the key names; what reads it is loaded only if there is one."""
+    if path in (None, ""):
+        return None
+    if not isinstance(path, str):
+        raise ConfigError(f"mysql: the path of a file is needed, not {path!r:.60}")
+    try:
+        from micadeck.mysql import config
+    except ImportError as missing:
+        raise ConfigError(f"mysql: install micadeck[mysql]: {missing}") from None
+    try:
+        return config.load(path)
+    except config.MysqlConfigError as fault:
+        raise ConfigError(f"mysql: {fault}") from None
+
+
 def _text(given: Mapping[str, Any], key: str) -> str:
     value = given.get(key)
     if not isinstance(value, str) or not value:
--- a/micadeck/engine/__init__.py
+++ b/micadeck/engine/__init__.py
@@ -6,7 +6,17 @@
 """
 
 from micadeck.engine.engine import Engine, IdInUse
-from micadeck.engine.ports import Carrier, Cause, Done, Entry, Listing, Messages, Request, Source, Waiter
+from micadeck.engine.ports import (
+    Carrier,
+    Cause,
+    Done,
+    Entry,
+    Listing,
+    Messages,
+    Request,
+    Source,
+    Waiter,
+)
 
 __all__ = [
     "Carrier",
--- a/micadeck/engine/engine.py
+++ b/micadeck/engine/engine.py
@@ -13,6 +13,7 @@
 from magpiemux import Balancer, Settings
 from magpiemux.interface import (
     Action,
+    AnswerStarted,
     AttemptEnded,
     Cancel,
     CloseIdle,
@@ -48,7 +49,7 @@
 class _Open:
     """A request that was taken: until it is answered and its attempts have ended."""
 
-    __slots__ = ("attempts", "last_outcome", "may_have_run", "out", "request", "waiter")
+    __slots__ = ("attempts", "last_outcome", "may_have_run", "out", "request", "sent", "started", "waiter")
 
     def __init__(self, waiter: Waiter, request: Request) -> None:
         self.waiter: Waiter | None = waiter  # None: it has its answer, or nobody waits for it
@@ -57,6 +58,8 @@
         self.out = 0
         self.last_outcome: Outcome | None = None
         self.may_have_run = False  # by the attempts that have ended
+        self.sent: tuple[str, int] = ("", 0)  # the last attempt's server and time
+        self.started: int | None = None  # how long its answer took to begin on its way to the waiter
 
 
 class Engine:
@@ -137,6 +140,7 @@
                 cost_us=request.cost_us,
                 client_retry=request.client_retry,
                 write=request.write,
+                bound=request.bound,
             )
         )
         return number if not self._is_answered(number) else None
@@ -148,6 +152,19 @@
         self._post(RequestGone(request))
         self._forget_if_over(request)
 
+    def started(self, request: int) -> bool:
+        """A part of an attempt's answer goes to the waiter now; say whether it may.
+
+        From here on no other attempt follows: should this one not deliver the rest, the request has failed.
+        """
+        held = self._open.get(request)
+        if held is None or held.waiter is None:
+            return False
+        server, sent_at = held.sent
+        held.started = self._network.now() - sent_at
+        self._post(AnswerStarted(request, len(held.attempts) - 1, server, held.started))
+        return True
+
     def stop_by(self, when: int) -> None:
         """Give no request taken from now on more time than up to this point."""
         self._stop_by = when
@@ -213,6 +230,11 @@
             if waiter is not None:
                 waiter.served(response)
         elapsed = self._network.now() - sent_at
+        if held.started is not None:
+            # What follows its begin takes as long as the waiter reads, and says nothing of the server.
+            elapsed = held.started
+            if outcome is not Outcome.DELIVERED:
+                self._fail(request, Cause.SERVERS)
         # Whether it is answered is looked up when the event's turn comes.
         self._post(AttemptEnded(request, attempt, server, outcome, elapsed, False, report))
 
@@ -257,6 +279,7 @@
             self._attempt_ended(number, attempt, action.server, sent_at, outcome, response, report)
 
         held.out += 1
+        held.sent = (action.server, sent_at)
         held.attempts.append(self._carrier.start(action.server, action.until, held.request, done))
 
     def _probe(self, server: str) -> None:
--- a/micadeck/engine/ports.py
+++ b/micadeck/engine/ports.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, unique
 from typing import Any, Protocol
 
@@ -29,6 +29,7 @@
     client_retry: bool
     ident: bytes  # the client's name for it; no two open requests share one
     write: bool
+    bound: str | None = field(default=None, kw_only=True)  # the one server that can serve it
 
 
 @unique
--- /dev/null
+++ b/micadeck/mysql/fates.py
@@ -0,0 +1,134 @@
+"""What a client gets when its statement can't be answered by a server: one table.
+
+Rows are what the statement was, columns what befell it.  Whether it is sent again is not decided here but in
+the decision module, by class and outcome, before it comes to this.  Three promises are made and no others:
+
+- SQLSTATE 40001 (ER_LOCK_DEADLOCK): nothing of it took effect, and nothing of the transaction it was in,
+  which is over.  Running it again, or the transaction again from its begin, is harmless.
+- SQLSTATE 08007: whether it took effect is not known.  It was not, and will not be, sent again.
+- SQLSTATE 08S01, and the client's connection closes: what the session had left at the server is gone.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from micadeck.mysql.protocol.constants import ErrorCode
+from micadeck.mysql.protocol.messages import Err
+from micadeck.mysql.statements import Kind, Statement
+
+
+@unique
+class Was(Enum):
+    """What the statement was, and where its session stood."""
+
+    READ = "a safe read outside a transaction"
+    WRITE = "a statement with effects, outside a transaction"
+    IN_TRANSACTION = "a statement in a transaction, which can't end that"
+    ROLLBACK = "ROLLBACK"
+    MAY_COMMIT = "COMMIT, or what may commit a transaction by itself"
+    PINNED = "any statement of a session with state at the server"
+
+
+@unique
+class Befell(Enum):
+    """What happened to it."""
+
+    REFUSED = "no attempt of it can have run"
+    LOST = "its server died, went down or broke off; it may have run"
+    LATE = "its time was over; it may have run"
+    CUT = "its server died after a part of the answer went out"
+    DEFECT = "this program went wrong"
+
+
+@unique
+class Transaction(Enum):
+    """What is known of the transaction it was in, if it was in one."""
+
+    NONE = "there was none"
+    ROLLED_BACK = "certainly rolled back"
+    UNKNOWN = "committed or rolled back"
+
+
+@dataclass(frozen=True, slots=True)
+class Fate:
+    """The final answer, and what follows from it.  `error` None: OK."""
+
+    error: Err | None
+    transaction: Transaction
+    closes: bool = False  # the client's connection, behind the answer
+
+
+_AGAIN = Err(ErrorCode.LOCK_DEADLOCK, "40001", "not run, and nothing changed; running it again is harmless")
+_ROLLED_BACK = Err(
+    ErrorCode.LOCK_DEADLOCK,
+    "40001",
+    "the transaction was rolled back with its server; restart the transaction",
+)
+_READ_LOST = Err(
+    ErrorCode.LOCK_DEADLOCK, "40001", "no server answered; a read, so running it again is harmless"
+)
+_LATE_READ = Err(ErrorCode.QUERY_TIMEOUT, "HY000", "no answer within the statement's time; nothing changed")
+_LATE_ROLLED_BACK = Err(
+    ErrorCode.LOCK_DEADLOCK, "40001", "no answer within the statement's time; its transaction was rolled back"
+)
+_UNKNOWN = Err(ErrorCode.UNKNOWN, "08007", "its server was lost; whether it took effect is not known")
+_LATE_UNKNOWN = Err(ErrorCode.UNKNOWN, "08007", "no answer in its time; whether it took effect is not known")
+_CUT = Err(ErrorCode.QUERY_INTERRUPTED, "70100", "its server was lost: the result ends here and is not whole")
+_CUT_UNKNOWN = Err(
+    ErrorCode.UNKNOWN, "08007", "its server was lost: the result is not whole, and effects are not known"
+)
+_STATE_LOST = Err(ErrorCode.UNKNOWN, "08S01", "the server that held this session's state was lost")
+_DEFECT = Err(ErrorCode.UNKNOWN, "08007", "an internal error of the balancer; effects are not known")
+
+_NONE, _BACK, _OPEN = Transaction.NONE, Transaction.ROLLED_BACK, Transaction.UNKNOWN
+
+TABLE: dict[tuple[Was, Befell], Fate] = {
+    (Was.READ, Befell.REFUSED): Fate(_AGAIN, _NONE),
+    (Was.READ, Befell.LOST): Fate(_READ_LOST, _NONE),
+    (Was.READ, Befell.LATE): Fate(_LATE_READ, _NONE),
+    (Was.READ, Befell.CUT): Fate(_CUT, _NONE),
+    (Was.READ, Befell.DEFECT): Fate(_READ_LOST, _NONE),
+    (Was.WRITE, Befell.REFUSED): Fate(_AGAIN, _NONE),
+    (Was.WRITE, Befell.LOST): Fate(_UNKNOWN, _NONE),
+    (Was.WRITE, Befell.LATE): Fate(_LATE_UNKNOWN, _NONE),
+    (Was.WRITE, Befell.CUT): Fate(_CUT_UNKNOWN, _NONE),
+    (Was.WRITE, Befell.DEFECT): Fate(_DEFECT, _NONE),
+    # Only its own connection could have committed it, and that is closed without a COMMIT.
+    (Was.IN_TRANSACTION, Befell.REFUSED): Fate(_ROLLED_BACK, _BACK),
+    (Was.IN_TRANSACTION, Befell.LOST): Fate(_ROLLED_BACK, _BACK),
+    (Was.IN_TRANSACTION, Befell.LATE): Fate(_LATE_ROLLED_BACK, _BACK),
+    (Was.IN_TRANSACTION, Befell.CUT): Fate(_ROLLED_BACK, _BACK),
+    (Was.IN_TRANSACTION, Befell.DEFECT): Fate(_ROLLED_BACK, _BACK),
+    # Rolled back is what it asked for.
+    (Was.ROLLBACK, Befell.REFUSED): Fate(None, _BACK),
+    (Was.ROLLBACK, Befell.LOST): Fate(None, _BACK),
+    (Was.ROLLBACK, Befell.LATE): Fate(None, _BACK),
+    (Was.ROLLBACK, Befell.CUT): Fate(None, _BACK),
+    (Was.ROLLBACK, Befell.DEFECT): Fate(None, _BACK),
+    (Was.MAY_COMMIT, Befell.REFUSED): Fate(_ROLLED_BACK, _BACK),
+    (Was.MAY_COMMIT, Befell.LOST): Fate(_UNKNOWN, _OPEN),
+    (Was.MAY_COMMIT, Befell.LATE): Fate(_LATE_UNKNOWN, _OPEN),
+    (Was.MAY_COMMIT, Befell.CUT): Fate(_CUT_UNKNOWN, _OPEN),
+    (Was.MAY_COMMIT, Befell.DEFECT): Fate(_DEFECT, _OPEN),
+    # State that the client counts on is gone: it must not go on as if nothing had been.
+    (Was.PINNED, Befell.REFUSED): Fate(_STATE_LOST, _BACK, closes=True),
+    (Was.PINNED, Befell.LOST): Fate(_UNKNOWN, _OPEN, closes=True),
+    (Was.PINNED, Befell.LATE): Fate(_LATE_UNKNOWN, _OPEN, closes=True),
+    (Was.PINNED, Befell.CUT): Fate(_CUT_UNKNOWN, _OPEN, closes=True),
+    (Was.PINNED, Befell.DEFECT): Fate(_DEFECT, _OPEN, closes=True),
+}
+
+
+def was(statement: Statement, *, in_transaction: bool, has_state: bool, is_safe: bool) -> Was:
+    """The row of a statement, by its session before it ran."""
+    if has_state:
+        return Was.PINNED
+    if in_transaction:
+        if statement.kind is Kind.ROLLBACK:
+            return Was.ROLLBACK
+        sets_autocommit = any(name == "autocommit" for name, _ in statement.assignments)
+        is_inside = statement.is_plain and not statement.pins and not sets_autocommit
+        return Was.IN_TRANSACTION if is_inside else Was.MAY_COMMIT
+    return Was.READ if is_safe else Was.WRITE
--- /dev/null
+++ b/micadeck/mysql/statements.py
@@ -0,0 +1,547 @@
+"""What a statement is, as far as routing needs to know: proved safe, what it leaves, how it ends.
+
+Read by the tokenizer and the parser of sqlglot.  Both must agree with a few rules on the raw bytes before
+anything counts as proved: a comment, a backslash or a control character may be read in two ways (by
+`sql_mode`, by the server's version), and what can be read in two ways proves nothing.  What is not proved is
+unsafe, and what is not understood at all pins its session.
+"""
+
+from __future__ import annotations
+
+import re
+from collections import OrderedDict
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from enum import Enum, unique
+
+from sqlglot import exp
+from sqlglot.dialects.mysql import MySQL
+from sqlglot.errors import SqlglotError
+from sqlglot.tokenizer_core import Token, TokenType
+
+
+@unique
+class Kind(Enum):
+    """What a text of one or more statements does, as the session sees it."""
+
+    READ = "read"  # proved: may run any number of times, anywhere
+    WRITE = "write"  # a change of rows, or a read that locks: undone with its transaction
+    BEGIN = "begin"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"  # whole, without CHAIN, RELEASE or SAVEPOINT
+    SAVEPOINT = "savepoint"  # inside its transaction only
+    SET = "set"  # session variables, all of which can be put on another connection
+    USE = "use"
+    OPAQUE = "opaque"  # may commit, or do what cannot be told from its text
+
+
+@unique
+class Pin(Enum):
+    """Why a session can't leave its server connection."""
+
+    TRANSACTION = "a transaction is open"
+    USER_VARIABLE = "user variables"
+    TEMPORARY_TABLE = "a temporary table"
+    LOCK = "a lock held by its connection"
+    SQL_PREPARE = "a statement prepared by SQL"
+    CURSOR = "an open cursor"
+    VARIABLE = "a variable that can't be put elsewhere"
+    NEXT_TRANSACTION = "SET TRANSACTION for the next one"
+    DIAGNOSTICS = "what the last statement left to be read"
+    NOT_UNDERSTOOD = "a statement whose effects can't be told"
+
+
+@unique
+class Refusal(Enum):
+    """What is not carried at all."""
+
+    LOCAL_INFILE = "LOAD DATA LOCAL is not carried"
+    KILL = "KILL is not carried: thread ids belong to server connections"
+    REPLICATION = "replication commands are not carried"
+    SHUTDOWN = "SHUTDOWN is not carried"
+
+
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """A text, read.  `text` is what it was read from; `hint` the options of a leading `/*micadeck: ...*/`."""
+
+    kind: Kind
+    pins: frozenset[Pin] = frozenset()
+    count: int = 1
+    assignments: tuple[tuple[str, str], ...] = ()  # of SET: variable, and value as SQL
+    schema: bytes | None = None  # of USE
+    refusal: Refusal | None = None
+    needs_insert_id: bool = False  # reads LAST_INSERT_ID()
+    needs_diagnostics: bool = False  # reads what the last statement left
+    makes_diagnostics: bool = False  # SQL_CALC_FOUND_ROWS
+    own: str | None = None  # a value that the session itself knows: "last_insert_id" or "row_count"
+    ends_locks: bool = False  # UNLOCK TABLES
+    is_closed: bool = False  # it calls nothing whose effects on the session are unknown
+    shape: str = ""  # literals left out
+    hint: tuple[tuple[str, str], ...] = ()
+
+    @property
+    def is_safe(self) -> bool:
+        """Whether it may run again outside a transaction, should nobody know whether it ran."""
+        return self.kind in (Kind.READ, Kind.BEGIN, Kind.SET, Kind.USE)
+
+    @property
+    def is_plain(self) -> bool:
+        """Whether all it does inside a transaction is undone with that, and it can't commit by itself."""
+        return self.kind in (Kind.READ, Kind.WRITE, Kind.SET, Kind.USE, Kind.SAVEPOINT) and self.count == 1
+
+
+# Functions of MySQL that read nothing but their arguments, tables, the clock and the session's variables.
+_PURE = frozenset(
+    """
+    abs acos adddate addtime aes_decrypt aes_encrypt any_value ascii asin atan atan2 avg benchmark
+    bin bin_to_uuid bit_and bit_count bit_length bit_or bit_xor cast ceil ceiling char char_length
+    character_length charset coalesce coercibility collation compress concat concat_ws conv convert
+    convert_tz cos cot count crc32 cume_dist curdate current_date current_time current_timestamp
+    current_user curtime database date date_add date_format date_sub datediff day dayname dayofmonth
+    dayofweek dayofyear default degrees dense_rank elt exists exp export_set extract extractvalue
+    field find_in_set first_value floor format format_bytes from_base64 from_days from_unixtime
+    geomcollection get_format greatest group_concat grouping hex hour if ifnull in inet6_aton
+    inet6_ntoa inet_aton inet_ntoa insert instr interval is_ipv4 is_ipv6 is_uuid isnull json_array
+    json_arrayagg json_array_append json_contains json_contains_path json_depth json_extract
+    json_insert json_keys json_length json_merge_patch json_merge_preserve json_object
+    json_objectagg json_overlaps json_pretty json_quote json_remove json_replace json_search
+    json_set json_storage_size json_table json_type json_unquote json_valid json_value lag last_day
+    last_value lcase lead least left length ln localtime localtimestamp locate log log10 log2 lower
+    lpad ltrim make_set makedate maketime max md5 microsecond mid min minute mod month monthname
+    nth_value now ntile nullif oct octet_length ord percent_rank period_add period_diff pi position
+    pow power quarter quote radians rand random_bytes rank regexp_instr regexp_like regexp_replace
+    regexp_substr repeat replace reverse right round row row_number rpad rtrim schema sec_to_time
+    second session_user sha sha1 sha2 sign sin sleep soundex space sqrt std stddev stddev_pop
+    stddev_samp str_to_date strcmp subdate substr substring substring_index subtime sum sysdate
+    system_user tan time time_format time_to_sec timediff timestamp timestampadd timestampdiff
+    to_base64 to_days to_seconds trim truncate ucase uncompress uncompressed_length unhex
+    unix_timestamp upper user utc_date utc_time utc_timestamp uuid uuid_short uuid_to_bin values
+    var_pop var_samp variance version week weekday weekofyear weight_string year yearweek
+    st_asgeojson st_astext st_contains st_distance st_distance_sphere st_geomfromtext st_intersects
+    st_within st_x st_y point
+    """.split()
+)
+# Words before an opening bracket that call nothing.
+_BEFORE_BRACKET = frozenset(
+    """
+    select from where and or not in exists all any some as on using join values over partition by
+    having when then else case between like rlike regexp union except intersect distinct limit
+    offset interval is null div mod xor with recursive group order window rows range key index use
+    force ignore char varchar decimal numeric binary varbinary datetime timestamp time signed
+    unsigned float double lateral for table straight_join end int integer set escape cross left
+    right inner outer natural match against
+    """.split()
+)
+_NOT_IN_READS = frozenset(
+    """
+    into update insert delete replace call lock get_lock release_lock procedure handler outfile
+    dumpfile sql_calc_found_rows nextval setval lastval next_value
+    """.split()
+)
+_INSERT_ID = frozenset(("last_insert_id", "identity"))
+_DIAGNOSTICS = frozenset(("found_rows", "row_count", "warning_count", "error_count", "statement_digest"))
+_LOCKS = frozenset(("get_lock", "release_lock", "release_all_locks", "is_free_lock", "is_used_lock"))
+# Variables that mean something only on the connection where they were set, or are no session's state.
+_NOT_PUT = frozenset(
+    """
+    last_insert_id identity insert_id timestamp rand_seed1 rand_seed2 pseudo_thread_id
+    pseudo_slave_mode sql_log_bin gtid_next transaction_read_only_next proxy_user external_user
+    password role resource
+    """.split()
+)
+_VALUES = frozenset((TokenType.NUMBER, TokenType.STRING, TokenType.VAR, TokenType.NULL, TokenType.TRUE))
+_HINT = re.compile(rb"\s*/\*\s*micadeck:([^*/\\;'\"]*)\*/")
+_COMMENT = re.compile(rb"\s*/\*(?![!+M])[^*/]*\*/")
+_TWO_WAYS = re.compile(rb"--|#|/\*|\\|[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
+_LITERAL = re.compile(r"'(?:[^']|'')*'|\b0[xX][0-9a-fA-F]+\b|(?<![\w.`$])\d+(?:\.\d+)?(?:[eE][+-]?\d+)?\b")
+_ORDERLY = re.compile(rb"[^\"`@]*")
+_MOST_TEXT = 1 << 16  # bytes that are read for a proof; a longer text is unsafe
+_MOST_SHAPES = 4_096
+_DIALECT = MySQL()
+
+_NOT_UNDERSTOOD = Statement(Kind.OPAQUE, frozenset((Pin.NOT_UNDERSTOOD,)))
+
+
+class Reader:
+    """Reads texts, and remembers shapes: a text that differs in literals alone is read once."""
+
+    def __init__(self, most: int = _MOST_SHAPES) -> None:
+        self._most = most
+        self._known: OrderedDict[str, Statement] = OrderedDict()
+        self.read_anew = 0
+
+    def read(self, text: bytes) -> Statement:
+        hint, body = _split_hint(text)
+        plain = body.decode("latin-1")
+        shape = plain
+        if not _TWO_WAYS.search(body) and _ORDERLY.fullmatch(body):
+            shape = _LITERAL.sub("?", plain)
+        known = self._known.get(shape)
+        if known is not None and not (known.assignments or known.schema):
+            self._known.move_to_end(shape)
+        else:
+            self.read_anew += 1
+            known = replace(understand(body), shape=shape[:256])
+            if len(shape) <= _MOST_TEXT:
+                self._known[shape] = known
+                if len(self._known) > self._most:
+                    self._known.popitem(last=False)
+        return replace(known, hint=hint) if hint else known
+
+
+def _split_hint(text: bytes) -> tuple[tuple[tuple[str, str], ...], bytes]:
+    found = _HINT.match(text)
+    if found is None:
+        return (), text
+    pairs = (each.partition("=") for each in found[1].decode("latin-1").split(","))
+    hint = tuple((name.strip(), value.strip()) for name, _, value in pairs if name.strip())
+    return hint, text[found.end() :]
+
+
+def understand(text: bytes) -> Statement:
+    """Read a text of one or more statements, without its hint."""
+    while (comment := _COMMENT.match(text)) is not None:
+        text = text[comment.end() :]
+    if len(text) > _MOST_TEXT:
+        return _long(text)
+    has_two_ways = _TWO_WAYS.search(text) is not None
+    if b"/*!" in text or b"/*M!" in text:
+        return replace(_NOT_UNDERSTOOD, count=2 if b";" in text else 1)  # what runs depends on the server
+    try:
+        tokens = list(_DIALECT.tokenize(text.decode("latin-1")))
+    except SqlglotError:
+        return replace(_NOT_UNDERSTOOD, count=2 if b";" in text.rstrip(b"; \t\r\n") else 1)
+    parts = _parts(tokens)
+    if not parts:
+        return Statement(Kind.OPAQUE)
+    read = [_one(part, has_two_ways) for part in parts]
+    if any(each.token_type is TokenType.COMMAND for each in tokens) and b";" in text.rstrip(b"; \t\r\n"):
+        # A command takes all that follows it for its text.
+        return replace(read[0], kind=Kind.OPAQUE, count=2, pins=read[0].pins | {Pin.NOT_UNDERSTOOD})
+    if has_two_ways and b";" in text.rstrip(b"; \t\r\n"):
+        return replace(_together(read), kind=Kind.OPAQUE, count=max(len(read), 2))
+    return read[0] if len(read) == 1 else _together(read)
+
+
+def _long(text: bytes) -> Statement:
+    """By its first word: enough for a large INSERT, which is where long texts come from."""
+    head = text[:64].lstrip().split(None, 1)[0].lower()
+    count = 2 if b";" in text.rstrip(b"; \t\r\n") else 1
+    if head in (b"insert", b"replace", b"update", b"delete", b"select") and count == 1 and b"@" not in text:
+        return Statement(Kind.WRITE)  # not closed: nobody looked for calls
+    return replace(_NOT_UNDERSTOOD, count=count)
+
+
+def _parts(tokens: Sequence[Token]) -> list[list[Token]]:
+    parts: list[list[Token]] = [[]]
+    for each in tokens:
+        if each.token_type is TokenType.SEMICOLON:
+            parts.append([])
+        else:
+            parts[-1].append(each)
+    return [part for part in parts if part]
+
+
+def _together(read: Sequence[Statement]) -> Statement:
+    """Several statements in one text: the least that holds of all."""
+    kinds = {each.kind for each in read}
+    return Statement(
+        kind=Kind.READ if kinds == {Kind.READ} else Kind.OPAQUE,
+        is_closed=kinds == {Kind.READ},
+        pins=frozenset().union(*(each.pins for each in read))
+        | ({Pin.VARIABLE} if kinds & {Kind.SET, Kind.USE} else set()),
+        count=len(read),
+        refusal=next((each.refusal for each in read if each.refusal), None),
+        needs_insert_id=any(each.needs_insert_id for each in read),
+        needs_diagnostics=any(each.needs_diagnostics for each in read),
+        makes_diagnostics=any(each.makes_diagnostics for each in read),
+    )
+
+
+# ---------------------------------------------------------------------------------------------------
+# One statement
+
+
+def _words(tokens: Sequence[Token]) -> list[str]:
+    """Names and keywords in lower case; of what is quoted, only that something stands there."""
+    quoted = (TokenType.STRING, TokenType.NATIONAL_STRING, TokenType.IDENTIFIER)
+    return ["''" if each.token_type in quoted else each.text.lower() for each in tokens]
+
+
+def _one(tokens: Sequence[Token], has_two_ways: bool) -> Statement:
+    words = _words(tokens)
+    first = words[0] if words[0] != "(" else next((each for each in words if each != "("), "")
+    second = words[1] if len(words) > 1 else ""
+    if tokens[0].token_type is TokenType.COMMAND:
+        rest = " ".join([*first.split()[1:], *(each.text.lower() for each in tokens[1:2])])
+        return _by_word(first.split()[0], rest)
+    match first:
+        case "select" | "with" | "values" | "table":
+            return _query(tokens, words, has_two_ways)
+        case "show" | "describe" | "desc" | "explain":
+            return _show(words, has_two_ways)
+        case "insert" | "replace" | "update" | "delete":
+            return _with_effects(Statement(Kind.WRITE), tokens, words)
+        case "begin":
+            return Statement(Kind.BEGIN) if len(words) == 1 or words[1:] == ["work"] else _NOT_UNDERSTOOD
+        case "start" if second == "transaction":
+            return Statement(Kind.BEGIN)
+        case "commit":
+            return Statement(Kind.COMMIT if "release" not in words and "chain" not in words else Kind.OPAQUE)
+        case "rollback":
+            if words in (["rollback"], ["rollback", "work"]):
+                return Statement(Kind.ROLLBACK)
+            is_inside = "to" in words
+            return Statement(Kind.SAVEPOINT if is_inside else Kind.OPAQUE)
+        case "savepoint":
+            return Statement(Kind.SAVEPOINT)
+        case "release" if second == "savepoint":
+            return Statement(Kind.SAVEPOINT)
+        case "set":
+            return _set(tokens, words, has_two_ways)
+        case "use" if len(tokens) == 2:
+            return Statement(Kind.USE, schema=tokens[1].text.encode("latin-1"))
+        case "create" | "drop" | "alter" | "truncate" | "rename":
+            is_temporary = "temporary" in words
+            pins = frozenset((Pin.TEMPORARY_TABLE,)) if is_temporary else frozenset[Pin]()
+            return Statement(Kind.OPAQUE, pins)
+        case "do":
+            return _with_effects(Statement(Kind.OPAQUE), tokens, words)
+    return _by_word(first, " ".join(words[1:]))
+
+
+def _by_word(first: str, rest: str = "") -> Statement:
+    """What the tokenizer takes for a command and does not look into."""
+    match first:
+        case "kill":
+            return Statement(Kind.OPAQUE, refusal=Refusal.KILL)
+        case "shutdown" | "restart":
+            return Statement(Kind.OPAQUE, refusal=Refusal.SHUTDOWN)
+        case "load":
+            if re.search(r"\blocal\b", rest):
+                return Statement(Kind.OPAQUE, refusal=Refusal.LOCAL_INFILE)
+            return Statement(Kind.OPAQUE)
+        case "prepare" | "execute" | "deallocate":
+            return Statement(Kind.OPAQUE, frozenset((Pin.SQL_PREPARE, Pin.NOT_UNDERSTOOD)))
+        case "unlock":
+            return Statement(Kind.OPAQUE, ends_locks=True)
+        case "lock" | "flush" | "handler":
+            return Statement(Kind.OPAQUE, frozenset((Pin.LOCK,)))
+        case "optimize" | "analyze" | "check" | "repair" | "grant" | "revoke" | "rename" | "truncate":
+            return Statement(Kind.OPAQUE)
+        case "explain" | "show":
+            return Statement(Kind.WRITE)
+        case "change" | "purge" | "reset" | "stop" | "install" | "uninstall" | "clone":
+            return Statement(Kind.OPAQUE, refusal=Refusal.REPLICATION)
+    return _NOT_UNDERSTOOD
+
+
+def _query(tokens: Sequence[Token], words: Sequence[str], has_two_ways: bool) -> Statement:
+    own = _own(words)
+    if own is not None:
+        return Statement(Kind.READ, own=own, needs_insert_id=own == "last_insert_id", is_closed=True)
+    writes = next((each for each in words if each in ("insert", "update", "delete", "replace")), None)
+    base = _with_effects(Statement(Kind.WRITE), tokens, words)
+    if words[0] == "with" and writes in ("update", "delete", "insert"):
+        return base
+    if {"outfile", "dumpfile"} & set(words):
+        return replace(base, kind=Kind.OPAQUE)
+    if base.pins or base.needs_diagnostics or base.makes_diagnostics or has_two_ways:
+        return base
+    if not base.is_closed or _locks(words):
+        return base
+    return replace(base, kind=Kind.READ) if _parses_as_query(tokens) else base
+
+
+def _own(words: Sequence[str]) -> str | None:
+    """Whether it asks alone for what the session knows without a server."""
+    match list(words):
+        case ["select", "last_insert_id", "(", ")"] | ["select", "@@", "identity" | "last_insert_id"]:
+            return "last_insert_id"
+        case ["select", "row_count", "(", ")"]:
+            return "row_count"
+    return None
+
+
+def _show(words: Sequence[str], has_two_ways: bool) -> Statement:
+    if words[0] == "show" and {"warnings", "errors"} & set(words[1:]):
+        return Statement(Kind.WRITE, needs_diagnostics=True)
+    is_read = not has_two_ways and "analyze" not in words and "for" not in words
+    return Statement(Kind.READ if is_read else Kind.WRITE, is_closed=is_read)
+
+
+def _with_effects(statement: Statement, tokens: Sequence[Token], words: Sequence[str]) -> Statement:
+    """What a query or a change leaves in its session, and reads from it."""
+    pins: set[Pin] = set()
+    names = set(" ".join(words).split())
+    for number, each in enumerate(tokens):
+        if each.token_type is TokenType.COLON_EQ:
+            pins.add(Pin.USER_VARIABLE)
+        if each.token_type is TokenType.PARAMETER or each.text == "@":
+            pins.add(Pin.USER_VARIABLE)
+        calls = number + 1 < len(tokens) and tokens[number + 1].token_type is TokenType.L_PAREN
+        if calls and words[number] in _LOCKS:
+            pins.add(Pin.LOCK)
+    insert_id = bool(names & _INSERT_ID)
+    if insert_id and re.search(r"last_insert_id \( (?!\))", " ".join(words)):
+        pins.add(Pin.VARIABLE)  # LAST_INSERT_ID(expr) sets it
+    return replace(
+        statement,
+        pins=frozenset(pins),
+        is_closed=not pins and _calls_are_pure(tokens, words),
+        needs_insert_id=insert_id,
+        needs_diagnostics=bool(names & _DIAGNOSTICS),
+        makes_diagnostics="sql_calc_found_rows" in names,
+    )
+
+
+def _calls_are_pure(tokens: Sequence[Token], words: Sequence[str]) -> bool:
+    for number, each in enumerate(tokens[1:], 1):
+        if each.token_type is not TokenType.L_PAREN:
+            continue
+        before, name = tokens[number - 1], words[number - 1].rpartition(" ")[2]
+        if before.token_type is TokenType.IDENTIFIER:
+            # `name`( is a call of a stored function, or columns of a table's alias: both are not proved
+            return False
+        if not (name[:1].isalpha() or name[:1] == "_"):
+            continue
+        is_qualified = number >= 2 and tokens[number - 2].token_type is TokenType.DOT
+        if is_qualified or (name not in _PURE and name not in _BEFORE_BRACKET):
+            return False
+    return True
+
+
+def _locks(words: Sequence[str]) -> bool:
+    words = " ".join(words).split()
+    for number, each in enumerate(words):
+        following = words[number + 1] if number + 1 < len(words) else ""
+        if each == "for" and following in ("update", "share"):
+            return True
+        called = following == "("
+        if each in _NOT_IN_READS and not (called and each in ("replace", "insert")):
+            return True
+    return False
+
+
+def _parses_as_query(tokens: Sequence[Token]) -> bool:
+    try:
+        trees = _DIALECT.parser().parse(list(tokens), "")
+    except (SqlglotError, RecursionError):
+        return False
+    if len(trees) != 1 or not isinstance(trees[0], exp.Query):
+        return False
+    refused = (exp.Lock, exp.Into, exp.Command, exp.DML, exp.DDL, exp.Parameter)
+    return not any(isinstance(node, refused) and not isinstance(node, exp.Query) for node in trees[0].walk())
+
+
+# ---------------------------------------------------------------------------------------------------
+# SET
+
+
+def _set(tokens: Sequence[Token], words: Sequence[str], has_two_ways: bool) -> Statement:
+    rest, names = list(tokens[1:]), list(words[1:])
+    if has_two_ways or not rest:
+        return Statement(Kind.OPAQUE, frozenset((Pin.VARIABLE,)))
+    if names[0] in ("global", "persist", "persist_only", "password", "default"):
+        return Statement(Kind.OPAQUE)
+    if "transaction" in names[:2] and "=" not in names:
+        return _set_transaction(names)
+    if names[0] == "names" or names[:2] == ["character", "set"] or names[0] == "charset":
+        return _set_names(rest, names)
+    assignments: list[tuple[str, str]] = []
+    pins: set[Pin] = set()
+    for part, part_names in _by_comma(rest, names):
+        read = _assignment(part, part_names)
+        if read is None:
+            is_user = part_names[:1] == ["@"] or part[0].token_type is TokenType.PARAMETER
+            pins.add(Pin.USER_VARIABLE if is_user else Pin.VARIABLE)
+            if "global" in part_names or "persist" in part_names:
+                return Statement(Kind.OPAQUE, frozenset((Pin.VARIABLE,)))
+        else:
+            assignments.append(read)
+    if pins:
+        return Statement(Kind.OPAQUE, frozenset(pins))
+    return Statement(Kind.SET, assignments=tuple(assignments))
+
+
+def _by_comma(tokens: list[Token], names: list[str]) -> list[tuple[list[Token], list[str]]]:
+    parts: list[tuple[list[Token], list[str]]] = [([], [])]
+    depth = 0
+    for token, name in zip(tokens, names, strict=True):
+        depth += (token.token_type is TokenType.L_PAREN) - (token.token_type is TokenType.R_PAREN)
+        if token.token_type is TokenType.COMMA and depth == 0:
+            parts.append(([], []))
+        else:
+            parts[-1][0].append(token)
+            parts[-1][1].append(name)
+    return [part for part in parts if part[0]]
+
+
+def _assignment(tokens: list[Token], names: list[str]) -> tuple[str, str] | None:
+    """A session variable and a literal, or None."""
+    if names[:1] == ["@@"]:
+        tokens, names = tokens[1:], names[1:]
+        if names[:2] in (["session", "."], ["local", "."]):
+            tokens, names = tokens[2:], names[2:]
+    elif names[:1] in (["session"], ["local"]):
+        tokens, names = tokens[1:], names[1:]
+    if len(tokens) < 3 or tokens[1].token_type not in (TokenType.EQ, TokenType.COLON_EQ):
+        return None
+    name, value = names[0], tokens[2:]
+    if not re.fullmatch(r"[a-z_0-9]+", name) or name in _NOT_PUT:
+        return None
+    sign = ""
+    if value[0].token_type is TokenType.DASH and len(value) == 2:
+        sign, value = "-", value[1:]
+    if len(value) != 1:
+        return None
+    return (name, sign + literal) if (literal := _literal(value[0])) is not None else None
+
+
+def _literal(token: Token) -> str | None:
+    if token.token_type is TokenType.STRING:
+        return "'" + token.text.replace("'", "''") + "'"
+    if token.token_type is TokenType.NUMBER or re.fullmatch(r"[A-Za-z][A-Za-z0-9_-]*", token.text):
+        return token.text
+    return None
+
+
+def _set_names(tokens: list[Token], names: list[str]) -> Statement:
+    words = [token.text for token in tokens]
+    at = 2 if names[0] == "character" else 1
+    charset = words[at] if len(words) > at else ""
+    collation = words[at + 2] if len(words) == at + 3 and names[at + 1] == "collate" else ""
+    is_name = re.compile(r"[A-Za-z0-9_]+")
+    expected = at + 3 if collation else at + 1
+    if names[0] != "names" or not is_name.fullmatch(charset) or len(words) != expected:
+        return Statement(Kind.OPAQUE, frozenset((Pin.VARIABLE,)))
+    value = charset + (f" COLLATE {collation}" if collation and is_name.fullmatch(collation) else "")
+    return Statement(Kind.SET, assignments=(("names", value),))
+
+
+_LEVELS = {
+    ("read", "uncommitted"): "READ-UNCOMMITTED",
+    ("read", "committed"): "READ-COMMITTED",
+    ("repeatable", "read"): "REPEATABLE-READ",
+    ("serializable",): "SERIALIZABLE",
+}
+
+
+def _set_transaction(names: list[str]) -> Statement:
+    if names[0] not in ("session", "local"):
+        if names[0] != "transaction":
+            return Statement(Kind.OPAQUE)
+        return Statement(Kind.OPAQUE, frozenset((Pin.NEXT_TRANSACTION,)))
+    assignments = []
+    rest = names[2:]
+    parts = " ".join(rest).split(" , ")
+    for part in parts:
+        words = part.split()
+        if words[:2] == ["isolation", "level"] and (level := _LEVELS.get(tuple(words[2:]))):
+            assignments.append(("transaction_isolation", f"'{level}'"))
+        elif words in (["read", "only"], ["read", "write"]):
+            assignments.append(("transaction_read_only", "1" if words[1] == "only" else "0"))
+        else:
+            return Statement(Kind.OPAQUE, frozenset((Pin.VARIABLE,)))
+    return Statement(Kind.SET, assignments=tuple(assignments))
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from micadeck.membership.sources import Sources
+    from micadeck.mysql.service import MysqlService
 
 _RESERVED = 48  # descriptors for everything but clients and servers
 _FOR_CLIENTS = 0.5  # of the rest
@@ -81,7 +82,7 @@
         # Whether there is a roster, and whether Consul, is settled at the start.
         kept += [
             key
-            for key in ("discovery", "consul")
+            for key in ("discovery", "consul", "mysql")
             if (getattr(config, key) is None) != (getattr(before, key) is None)
         ]
         if self.roster is not None and config.discovery not in (None, before.discovery):
@@ -131,11 +132,23 @@
         client_limits = client_limits or ClientLimits(most_bytes=config.memory_mb * _REQUESTS_OF_MEMORY)
         self.frontend = Frontend(config.settings, client_limits, self._engine, network)
         self.frontend.most = self._core.for_clients
+        self.mysql = self._with_mysql(config, network, log)
+
+    @staticmethod
+    def _with_mysql(config: Config, network: Network, log: Callable[[str], None]) -> MysqlService | None:
+        """A second front with an engine of its own; without it, nothing of it is loaded."""
+        if config.mysql is None:
+            return None
+        from micadeck.mysql.service import MysqlService
+
+        return MysqlService(config.mysql, network, config.seed, log)
 
     async def start(self) -> None:
         """Take up the last known list, then listen."""
         await self._core.start()
         self.frontend.listen(self._core.config.listen)
+        if self.mysql is not None:
+            self.mysql.start()
 
     @property
     def open_requests(self) -> int:
@@ -146,6 +159,8 @@
         """Take over what a new configuration may change in a running sidecar; name what it may not."""
         self._core.reload(config)
         self.frontend.most = self._core.for_clients
+        if self.mysql is not None and config.mysql is not None:
+            self.mysql.reload(config.mysql)
 
     async def drain(self) -> None:
         """Answer all that was taken and is still coming, then let go of everything."""
@@ -156,6 +171,7 @@
         left_s = longest_s + _KILLED_AFTER_S - _SPARE_S
         engine.stop_by(network.now() + int(left_s * 1e6))
         frontend.drain()
+        second = network.spawn(self.mysql.drain(left_s)) if self.mysql is not None else None
         await network.sleep(_NEW_FOR_S)
         while network.time() < frontend.last_opened + _QUIET_S and network.time() < began + _KILLED_AFTER_S:
             await network.sleep(_QUIET_S / 2)
@@ -165,9 +181,13 @@
                 frontend.close_idle()
             await network.sleep(_LOOK_AGAIN_S)
         engine.fail_open()
+        if second is not None:
+            await second
         await network.sleep(0)
         self.close()
 
     def close(self) -> None:
         self._engine.close()
         self.frontend.stop_listening()
+        if self.mysql is not None:
+            self.mysql.close()
--- /dev/null
+++ b/micadeck/standins/mysql/__main__.py
@@ -0,0 +1,50 @@
+"""Runs one stand-in MySQL server until it is interrupted: `python -m micadeck.standins.mysql --port 3306`."""
+
+from __future__ import annotations
+
+import asyncio
+
+import click
+
+from micadeck.standins.mysql import Fault, Point, StandInMysql, What
+
+
+def _fault(text: str) -> Fault:
+    """`MATCH:POINT:WHAT`, POINT one of the protocol's boundaries or `rows=N`."""
+    try:
+        match, point, what = text.rsplit(":", 2)
+        point, _, rows = point.partition("=")
+        return Fault(match, Point(point), What(what), int(rows or 0))
+    except ValueError as fault:
+        raise click.BadParameter(f"MATCH:POINT:WHAT is needed, not {text!r}: {fault}") from None
+
+
+async def _serve(server: StandInMysql, port: int, load: tuple[str, ...]) -> None:
+    for each in load:
+        server.database.run(each)
+    await server.start(port)
+    click.echo(f"{server.name} serves on {server.address}")
+    await asyncio.Event().wait()
+
+
+@click.command()
+@click.option("--port", default=0, help="0: any that is free.")
+@click.option("--user", default="sidecar")
+@click.option("--password", default="server-secret")
+@click.option("--takes-ms", default=0.0, help="How long each statement takes.")
+@click.option("--fault", "faults", multiple=True, help="MATCH:POINT:WHAT, e.g. tariff:rows=2:die")
+@click.option("--load", multiple=True, help="A statement in SQLite's words, run at the start.")
+def main(
+    port: int, user: str, password: str, takes_ms: float, faults: tuple[str, ...], load: tuple[str, ...]
+) -> None:
+    """A stand-in MySQL server over SQLite in memory."""
+    server = StandInMysql("standin", user, password, takes_s=takes_ms / 1e3)
+    server.faults = [_fault(each) for each in faults]
+    try:
+        asyncio.run(_serve(server, port, load))
+    except KeyboardInterrupt:
+        pass
+
+
+if __name__ == "__main__":
+    main()
--- a/micadeck/standins/servers.py
+++ b/micadeck/standins/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import dataclass
 from enum import Enum, unique
 
@@ -25,7 +26,7 @@
 class Heard:
     """A request that began here."""
 
-    at: float  # seconds, on the event loop's clock
+    at: float  # seconds, on the machine's monotonic clock
     server: str
     method: str
     target: str
@@ -107,7 +108,7 @@
         if server.keeps:
             server.heard.append(
                 Heard(
-                    at=loop.time(),
+                    at=time.monotonic(),  # finer than the event loop's clock: what came first is told first
                     server=server.name,
                     method=request.method.decode(),
                     target=request.target.decode("latin-1"),
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -19,6 +19,7 @@
     ("micadeck.engine",),
     ("micadeck.http",),
     ("micadeck.membership", "micadeck.peers"),
+    ("micadeck.mysql",),
     ("micadeck.config",),
     ("micadeck.sidecar",),
     ("micadeck.library",),
@@ -32,6 +33,7 @@
 # The parts that own an event loop or stand for other machines, with the reason.
 EXEMPT = {
     "micadeck.__main__": "starts the event loop and hears signals",
+    "micadeck.mysql.__main__": "starts the event loop and hears signals",
     "micadeck.library": "stands between the host's event loop and the engine's own",
     "micadeck.standins": "other systems, which have clocks and sockets of their own",
 }
@@ -88,5 +90,14 @@
     told = subprocess.run(
         [sys.executable, "-c", probe], cwd=ROOT.parent, capture_output=True, text=True, check=True
     ).stdout
-    for each in ("library", "asgi", "micadeck.httpx", "standins", "consul", "sources", "micadeck.cli"):
+    for each in (
+        "library",
+        "asgi",
+        "micadeck.httpx",
+        "standins",
+        "consul",
+        "sources",
+        "micadeck.cli",
+        "mysql",
+    ):
         assert each not in told
