--- a/tests/test_mysql_proof.py
+++ b/tests/test_mysql_proof.py
@@ -1,4 +1,4 @@
-"""Hundreds of clients, thousands of statements, servers that drain, die and spoil by seed; the servers are counted.
+"""Hundreds of clients, thousands of statements, servers that drain, die and spoil by seed; all is counted.
 
 Every statement has exactly one final answer; what was told harmless did not take effect, what was told done
 did once, transactions are whole or not at all; no rows and no session state of another client are seen; and
