Run MySQL in the daemon, the demo and a benchmark; test bound requests and begun answers

Need: the decisions' requests bound to one server and the engine's answers that have begun had no tests of their own; nothing measured a statement; nobody could try it with one command.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup test lint check demo bench bench-consul
+.PHONY: setup test lint check demo bench bench-consul bench-mysql
 
 setup: $(BIN)/ruff
 
@@ -31,3 +31,7 @@
 # Two minutes: flips under load, long lists, sources at rest; what it prints stands in docs/consul.md.
 bench-consul: setup
 	$(BIN)/python benchmarks/consul_lists.py
+
+# A minute on pinned cores: statements through the sidecar, a relay and directly; what it prints is in docs/mysql.md.
+bench-mysql: setup
+	$(BIN)/python benchmarks/mysql_wire.py
--- /dev/null
+++ b/benchmarks/mysql_wire.py
@@ -0,0 +1,206 @@
+"""What MySQL through the sidecar costs beside a direct connection and a bare relay: `make bench-mysql`.
+
+    python benchmarks/mysql_wire.py [--rounds 12] [--statements 300]
+
+One run, each process on a core of its own, all ways in turn in every round.  Then the memory of 1,000 idle
+client sessions, and that of a result of 1 GiB that streams through.  The client is the package's own server
+connection: the same for all ways.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import re
+import statistics
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from typing import Any
+
+import rig
+import uvloop
+
+from micadeck.mysql.auth import Verifier, native_stored
+from micadeck.mysql.link import Credentials, Link
+from micadeck.mysql.protocol.answers import Kind, Part, Row
+from micadeck.network import LoopNetwork
+
+AT_ONCE = 16
+SELECT = b"\x03SELECT code FROM tariff"
+WIDE_ROWS = 1 << 16  # of 16 KiB: 1 GiB
+IDLE = 1_000
+
+
+@contextmanager
+def standin(core: int, *arguments: str) -> Iterator[str]:
+    with rig.process(core, sys.executable, "-m", "micadeck.standins.mysql", *arguments) as child:
+        yield child.stdout.readline().split()[-1]
+
+
+@contextmanager
+def sidecar(core: int, addresses: list[str]) -> Iterator[tuple[int, int]]:
+    """The service; give its port and process id."""
+    with tempfile.TemporaryDirectory() as folder:
+        secret, path = Path(folder) / "password", Path(folder) / "mysql.toml"
+        secret.write_text("server-secret")
+        servers = "".join(
+            f'[[servers.static]]\nname = "s-{number}"\naddress = "{address}"\n'
+            for number, address in enumerate(addresses)
+        )
+        password = b"server-secret"
+        path.write_text(
+            f"""listen = "127.0.0.1:0"
+[servers]
+user = "sidecar"
+password_file = "{secret}"
+{servers}
+[[users]]
+name = "sidecar"
+verifier = "{Verifier.of(password).text()}"
+native = "*{native_stored(password).hex()}"
+[[classes]]
+name = "read"
+repeat = "safe"
+aim_ms = 1000
+deadline_ms = 60000
+[[classes]]
+name = "write"
+repeat = "unsafe"
+aim_ms = 1000
+deadline_ms = 60000
+[[rules]]
+read = "read"
+write = "write"
+"""
+        )
+        with rig.process(core, sys.executable, "-m", "micadeck.mysql", "serve", str(path)) as child:
+            told = re.search(r"serves on .*:(\d+)", child.stderr.readline())
+            if told is None:
+                raise RuntimeError("the sidecar does not serve")
+            yield int(told[1]), child.pid
+
+
+def memory_mb(pid: int, which: str = "VmRSS") -> float:
+    told = re.search(rf"{which}:\s+(\d+)", Path(f"/proc/{pid}/status").read_text())
+    assert told is not None
+    return int(told[1]) / 1024
+
+
+async def connect(port: int) -> Link:
+    network = LoopNetwork()
+
+    def make() -> Link:
+        credentials = Credentials("sidecar", b"server-secret")
+        return Link(
+            network, "", credentials, found_rows=False, most_in_packet=1 << 25, on_closed=lambda _: None
+        )
+
+    return await Link.open(make, network, (rig.HOST, port))
+
+
+async def ask(link: Link, part: Any, text: bytes = SELECT) -> None:
+    reader = await link.exchange(text, Kind.RESULT, part)
+    if reader.error is not None:
+        raise RuntimeError(reader.error.text)
+
+
+def nothing(part: Part) -> None:
+    """Of rows that only have to come."""
+
+
+async def turns(links: list[Link], count: int) -> tuple[list[float], float]:
+    """The spans of statements one after another, and the rate of all connections at once."""
+    spans = []
+    for _ in range(count):
+        began = time.perf_counter()
+        await ask(links[0], nothing)
+        spans.append(time.perf_counter() - began)
+
+    async def repeat(link: Link) -> None:
+        for _ in range(count // 4):
+            await ask(link, nothing)
+
+    began = time.perf_counter()
+    await asyncio.gather(*(repeat(each) for each in links))
+    return spans, len(links) * (count // 4) / (time.perf_counter() - began)
+
+
+async def speed(ways: dict[str, int], rounds: int, count: int) -> None:
+    links = {name: [await connect(port) for _ in range(AT_ONCE)] for name, port in ways.items()}
+    spans: dict[str, list[float]] = {name: [] for name in ways}
+    rates: dict[str, list[float]] = {name: [] for name in ways}
+    for number in range(rounds + 1):
+        for name, held in links.items():
+            single, rate = await turns(held, count)
+            if number:  # the first round only warms up
+                spans[name] += single
+                rates[name].append(rate)
+    rate_of = f"{AT_ONCE} at once, a second"
+    print(f"{'way':10} {'p50 ms':>8} {'p99 ms':>8} {rate_of:>24} {'of direct':>10}")
+    direct = statistics.median(rates["direct"])
+    for name in ways:
+        cuts = statistics.quantiles(spans[name], n=100)
+        rate = statistics.median(rates[name])
+        spread = f"{cuts[49] * 1e3:8.3f} {cuts[98] * 1e3:8.3f}"
+        print(f"{name:10} {spread} {rate:24,.0f} {rate / direct:10.2f}")
+
+
+async def idle(port: int, pid: int) -> None:
+    before = memory_mb(pid)
+    links = [await connect(port) for _ in range(IDLE)]
+    await asyncio.sleep(0.5)
+    after = memory_mb(pid)
+    kb = (after - before) * 1024 / IDLE
+    print(f"{IDLE} idle sessions: {before:.1f} -> {after:.1f} MB, {kb:.1f} KB each")
+    for each in links:
+        each.close()
+
+
+async def stream(port: int, pid: int) -> None:
+    link = await connect(port)
+    before = memory_mb(pid, "VmHWM")
+    seen = [0, 0]
+
+    def part(each: Part) -> None:
+        if isinstance(each, Row):
+            seen[0] += 1
+            seen[1] += len(each.payload)
+
+    began = time.perf_counter()
+    await ask(link, part, b"\x03SELECT * FROM wide")
+    took = time.perf_counter() - began
+    after = memory_mb(pid, "VmHWM")
+    print(
+        f"a result of {seen[1] / (1 << 30):.2f} GiB in {seen[0]} rows, {seen[1] / took / 1e6:.0f} MB/s;"
+        f" the sidecar's peak {before:.1f} -> {after:.1f} MB"
+    )
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--rounds", type=int, default=12)
+    parser.add_argument("--statements", type=int, default=300)
+    given = parser.parse_args()
+    cores = rig.spare_cores()
+    core = [cores[number % len(cores)] for number in range(4)]
+    with ExitStack() as held:
+        canned = held.enter_context(standin(core[0], "--canned", "10", "--wide", str(WIDE_ROWS)))
+        relay = held.enter_context(
+            rig.process(core[1], sys.executable, str(rig.ROOT / "benchmarks" / "byte_relay.py"), canned)
+        )
+        relay_port = int(relay.stdout.readline())
+        port, pid = held.enter_context(sidecar(core[2], [canned]))
+        rig.pin({core[3]})
+        ways = {"direct": int(canned.rpartition(":")[2]), "relay": relay_port, "sidecar": port}
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(speed(ways, given.rounds, given.statements))
+            runner.run(idle(port, pid))
+            runner.run(stream(port, pid))
+
+
+if __name__ == "__main__":
+    main()
--- a/micadeck/standins/demo.py
+++ b/micadeck/standins/demo.py
@@ -23,6 +23,8 @@
 import httptools
 import uvloop
 
+from micadeck.standins import mysql_demo
+
 HOST = "127.0.0.1"
 DAY_S = 8.0
 A_SECOND = 120
@@ -355,6 +357,8 @@
                     print(f"          {each}")
             print("the same balancer inside an application (examples/pricing.py):")
             good = await in_an_application(Path(folder), world)
+            print("a tariff schedule over MySQL; one server drains, one breaks off mid-result and dies:")
+            good = await mysql_demo.main() and good
         finally:
             if sidecar.returncode is None:
                 sidecar.kill()
--- a/micadeck/standins/mysql/__main__.py
+++ b/micadeck/standins/mysql/__main__.py
@@ -5,7 +5,10 @@
 import asyncio
 
 import click
+import uvloop
 
+from micadeck.mysql.protocol.messages import Column, Eof
+from micadeck.mysql.protocol.wire import lenenc, lenenc_int
 from micadeck.standins.mysql import Fault, Point, StandInMysql, What
 
 
@@ -19,6 +22,12 @@
         raise click.BadParameter(f"MATCH:POINT:WHAT is needed, not {text!r}: {fault}") from None
 
 
+def _canned(rows: int) -> list[bytes]:
+    """A result of one column, as it goes over the wire."""
+    body = [lenenc(b"%04d" % number) for number in range(rows)]
+    return [lenenc_int(1), Column(b"code").encode(), Eof().encode(), *body, Eof().encode()]
+
+
 async def _serve(server: StandInMysql, port: int, load: tuple[str, ...]) -> None:
     for each in load:
         server.database.run(each)
@@ -33,15 +42,32 @@
 @click.option("--password", default="server-secret")
 @click.option("--takes-ms", default=0.0, help="How long each statement takes.")
 @click.option("--fault", "faults", multiple=True, help="MATCH:POINT:WHAT, e.g. tariff:rows=2:die")
+@click.option(
+    "--canned", default=0, help="SELECT code FROM tariff has so many rows, and costs next to nothing."
+)
+@click.option("--wide", default=0, help="SELECT * FROM wide has so many rows of 16 KiB.")
 @click.option("--load", multiple=True, help="A statement in SQLite's words, run at the start.")
 def main(
-    port: int, user: str, password: str, takes_ms: float, faults: tuple[str, ...], load: tuple[str, ...]
+    port: int,
+    user: str,
+    password: str,
+    takes_ms: float,
+    faults: tuple[str, ...],
+    canned: int,
+    wide: int,
+    load: tuple[str, ...],
 ) -> None:
     """A stand-in MySQL server over SQLite in memory."""
     server = StandInMysql("standin", user, password, takes_s=takes_ms / 1e3)
     server.faults = [_fault(each) for each in faults]
+    if canned:
+        server.canned["SELECT code FROM tariff"] = _canned(canned)
+    if wide:
+        server.wide, server.wide_rows = True, wide
+        server.database.run("CREATE TABLE wide (w TEXT)")
     try:
-        asyncio.run(_serve(server, port, load))
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(_serve(server, port, load))
     except KeyboardInterrupt:
         pass
 
--- a/micadeck/standins/mysql/server.py
+++ b/micadeck/standins/mysql/server.py
@@ -118,6 +118,7 @@
     ran: list[Ran] = field(default_factory=list)
     commands: Counter[str] = field(default_factory=Counter)
     logins: int = 0
+    canned: dict[str, list[bytes]] = field(default_factory=dict)  # answers, by text, for loads
     defects: list[str] = field(default_factory=list)  # of the stand-in itself; tests want none
     wide: bool = False  # rows of one column of 16 KiB for `SELECT * FROM wide`, as many as `wide_rows`
     wide_rows: int = 0
@@ -326,6 +327,14 @@
                 self._error(SqlError(1047, "08S01", "Unknown command"))
 
     async def _query(self, text: str) -> None:
+        canned = self._server.canned.get(text)
+        if canned is not None:
+            out = b""
+            for each in canned:
+                data, self._sequence = frame(each, self._sequence)
+                out += data
+            self._transport.write(out)
+            return
         if text.upper().startswith("KILL QUERY"):
             other = self._server.sessions.get(int(text.split()[-1]))
             if other is not None:
--- a/micadeck/standins/roster.py
+++ b/micadeck/standins/roster.py
@@ -75,8 +75,8 @@
                 self.asked += 1
                 body = json.dumps(await self._answer(head.split(b" ")[1].decode())).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass  # its end, or the event loop's
         finally:
             writer.close()
 
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import Any
 
 import pytest
 
+from micadeck.standins import mysql_demo
 from micadeck.standins.demo import CORES, TAKES_S, Asked, judge
 
 DRAIN = {"do": "list", "server": "s-1", "state": "leaving", "at": 10.0}
@@ -48,3 +50,25 @@
     faulted = [rule for rule, faults in told.items() if faults]
     assert len(faulted) == (broken is not None)
     assert all(rule.startswith(broken or "") for rule in faulted)
+
+
+@pytest.mark.parametrize(
+    ("schedules", "lodging", "effects", "ran_at", "is_broken"),
+    [
+        ("whole", "done", 1, 10.4, False),
+        ("whole", "unknown", 1, 9.0, False),
+        ("BROKEN", "done", 1, 9.0, True),
+        ("whole", "done", 0, 9.0, True),
+        ("whole", "harmless", 1, 9.0, True),
+        ("whole", "unknown", 2, 9.0, True),
+        ("whole", "done", 1, 10.6, True),
+    ],
+)
+def test_the_part_over_mysql_is_judged(
+    schedules: str, lodging: str, effects: int, ran_at: float, is_broken: bool
+) -> None:
+    told = mysql_demo.Told()
+    told.schedules[schedules] += 1
+    told.lodgings["a"] = lodging
+    wrong = mysql_demo.judge(told, Counter({"a": effects}), {"m": [ran_at]}, {"m": 10.0})
+    assert bool(wrong) is is_broken
--- /dev/null
+++ b/tests/test_mysql_program.py
@@ -0,0 +1,148 @@
+"""The commands, and the daemon with MySQL beside HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+from loopback import play, soon, until
+from mysql_stage import PASSWORD, ROWS, ask, configured, given, scene
+from test_mysql_sessions import Wire
+
+from micadeck.cli import main
+from micadeck.config import ConfigError, parse
+from micadeck.mysql.auth import Verifier
+from micadeck.mysql.config import load
+from micadeck.mysql.protocol.constants import Command
+from micadeck.network import LoopNetwork
+from micadeck.sidecar import Sidecar
+
+ROOT = Path(__file__).parent.parent
+
+
+def _file(folder: Path, **changes: Any) -> str:
+    path = folder / "mysql.toml"
+    path.write_bytes(msgspec.toml.encode(given("127.0.0.1:1", **changes)))
+    return str(path)
+
+
+def test_check_shows_what_it_comes_to_and_no_secret(tmp_path: Path) -> None:
+    result = CliRunner().invoke(main, ["mysql", "check", _file(tmp_path)])
+    assert result.exit_code == 0, result.output
+    for part in ("user desk", "class read", "deadline 3000 ms", "roster 127.0.0.1:1"):
+        assert part in result.output
+    assert "scrypt" not in result.output and "secret" not in result.output
+
+
+def test_a_file_that_is_wrong_names_the_key(tmp_path: Path) -> None:
+    result = CliRunner().invoke(main, ["mysql", "check", _file(tmp_path, kil=True)])
+    assert result.exit_code == 2 and "micadeck: mysql: kil: there is no such key" in result.output
+
+
+def test_a_password_becomes_an_entry_that_fits() -> None:
+    result = CliRunner().invoke(main, ["mysql", "password", "--password", PASSWORD, "--native"])
+    entry = msgspec.toml.decode(result.output.encode())
+    assert Verifier.parse(entry["verifier"]).fits(PASSWORD.encode())
+    assert entry["native"].startswith("*") and len(entry["native"]) == 41
+
+
+@pytest.mark.parametrize(
+    ("statement", "told"),
+    [
+        ("SELECT 1", ["kind      read", "class     read (may run again)"]),
+        ("SET @a = 1", ["class     write (must not run again)", "pins      user variables"]),
+        ("KILL 1", ["refused   KILL is not carried"]),
+    ],
+)
+def test_explain_says_what_becomes_of_a_statement(tmp_path: Path, statement: str, told: list[str]) -> None:
+    result = CliRunner().invoke(main, ["mysql", "explain", _file(tmp_path), statement])
+    assert all(each in result.output for each in told), result.output
+
+
+def test_the_example_is_a_file_that_can_be_used(tmp_path: Path) -> None:
+    text = (ROOT / "deploy" / "mysql.toml").read_text()
+    secret = tmp_path / "password"
+    secret.write_text("x")
+    path = tmp_path / "mysql.toml"
+    path.write_text(text.replace("/run/secrets/mysql-password", str(secret)))
+    assert load(path).settings.rules.bound_grace_us == 150_000
+
+
+def _daemon(folder: Path, roster: str, mysql: str) -> dict[str, Any]:
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": roster,
+        "seed": "8c1f",
+        "mysql": mysql,
+        "settings": {
+            "lanes": [{"name": "check", "giveUpUs": 300_000, "promiseUs": 100_000, "repeat": "read_like"}],
+            "zone": "a",
+            "discovery": "on_request",
+            "bounds": {"sendCap": 3},
+        },
+    }
+
+
+def test_the_daemon_carries_mysql_beside_http_and_drains_both(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with scene(1) as stage:
+            path = tmp_path / "mysql.toml"
+            path.write_bytes(msgspec.toml.encode(given(stage.roster.address)))
+            config = parse(_daemon(tmp_path, stage.roster.address, str(path)))
+            log: list[str] = []
+            sidecar = Sidecar(config, LoopNetwork(), log.append)
+            await sidecar.start()
+            assert sidecar.mysql is not None
+            inner, stage.service = stage.service, sidecar.mysql
+            await until(lambda: "m-0" in stage.service.carrier._servers)
+            client = await stage.connect()
+            assert await ask(client, "SELECT COUNT(*) FROM tariff") == [(len(ROWS),)]
+            path.write_bytes(msgspec.toml.encode(given(stage.roster.address, users=given()["users"][:1])))
+            sidecar.reload(parse(_daemon(tmp_path, stage.roster.address, str(path))))
+            assert any(line.startswith("mysql: reloaded: 1 users") for line in log)
+            await ask(client, "BEGIN")
+            ending = asyncio.create_task(sidecar.drain())
+            await until(lambda: stage.service.front.is_draining)
+            assert await ask(client, "COMMIT") == 0
+            await soon(ending)
+            assert not stage.service.front.clients
+            stage.service = inner
+
+    play(work)
+
+
+def test_a_daemon_whose_mysql_file_is_wrong_names_the_key(tmp_path: Path) -> None:
+    path = tmp_path / "mysql.toml"
+    path.write_bytes(msgspec.toml.encode(given("127.0.0.1:1", listen="here")))
+    with pytest.raises(ConfigError, match="mysql: listen: "):
+        parse(_daemon(tmp_path, "127.0.0.1:1", str(path)))
+    with pytest.raises(ConfigError, match="mysql: the path of a file"):
+        parse(json.loads(json.dumps({**_daemon(tmp_path, "127.0.0.1:1", ""), "mysql": 5})))
+
+
+def test_bytes_of_no_protocol_end_a_connection_and_nothing_else() -> None:
+    async def work() -> None:
+        async with scene(1) as stage:
+            for raw in (b"", b"GET / HTTP/1.1\r\n\r\n", bytes(64), b"\xff" * 64, b"\x01\0\0\x01\x00"):
+                reader, writer = await asyncio.open_connection("127.0.0.1", stage.service.port)
+                greeting = await soon(reader.readexactly(5))
+                assert greeting[4] == 10
+                writer.write(raw)
+                writer.write_eof()
+                await soon(reader.read())
+                writer.close()
+            client = await stage.connect()
+            wire = Wire(client)
+            wire._writer.write(b"\x01\0\0\x05" + bytes((Command.PING,)))  # a wrong number
+            assert (await wire.packet())[:1] == b"\xff"
+            await until(lambda: not stage.service.front.clients)
+            assert stage.service.front.read == 0
+            assert configured("127.0.0.1:1").name == "mysql"
+
+    play(work)
