Check the schema of COM_INIT_DB, bound what a client sends ahead, tell why sessions are held

Cause: a test of drawn commands found that a user could choose a schema by COM_INIT_DB that USE refused; one client that sent on and on behind a slow statement took the room for unfinished packets of all.

Change: one check for both; a client is read no further than 64 KiB ahead; and COM_STATISTICS says how many sessions hold a server connection, and for what.

Result: 400 drawn commands each have an answer; 4 MiB of PINGs behind one statement leave others their answers, and are answered in their order.

--- a/micadeck/mysql/front.py
+++ b/micadeck/mysql/front.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -60,6 +61,7 @@
 _ACCEPT_AT_ONCE = 16
 _CHECKS_AT_ONCE = 2  # salted hashes: each takes a core for tens of milliseconds
 _MOST_AT_LOGIN = 1 << 16
+_MOST_AHEAD = 1 << 16  # bytes that a client may send behind a statement that is not answered
 _READ = Statement(Does.READ, is_closed=True)
 _TIME_SPARE_US = 5_000  # the decisions give up a few ticks before the time is over
 _DIAGNOSTICS_S = 0.5  # how long what a statement left is kept for a client to ask for
@@ -134,6 +136,18 @@
         """Clients that wait for an answer or hold a server connection."""
         return sum(each.is_busy for each in self.clients)
 
+    def statistics(self) -> str:
+        """A line on what is open, and why sessions hold server connections."""
+        reasons = Counter(
+            pin.value for each in self.clients if each.session is not None for pin in each.session.pins
+        )
+        held = "; ".join(f"{reason}: {count}" for reason, count in reasons.most_common())
+        return (
+            f"Clients: {len(self.clients)}  Open: {self.engine.open_requests}"
+            f"  Connections: {self.carrier.pool.count}  Held bytes: {self.carrier.held}"
+            f"  Shapes read: {self.reader.read_anew}  Held for: {held or 'nothing'}"
+        )
+
     def close(self) -> None:
         self.drain()
         for task in self.tasks:
@@ -224,7 +238,8 @@
         self._running: _Running | None = None
         self._link: Link | None = None  # while the session is bound to one
         self._is_lost = False  # the connection it was bound to ended, and the client has not been told
-        self._is_choked = False
+        self._is_choked = False  # what was written to it lies unread
+        self._is_held = False  # it is read no further until its statement is answered
         self._is_closing = False
         self._timer: Timer | None = None
         self._stall: Timer | None = None
@@ -261,6 +276,10 @@
             self._fatal(Err(ErrorCode.PACKET_TOO_LARGE, "08S01", "too many bytes of unfinished packets"))
             return
         self._next()
+        if self._running is not None and self._packets.held > _MOST_AHEAD and self._transport is not None:
+            # Guards others: one client that sends on and on must not take the room of all.
+            self._is_held = True
+            self._transport.pause_reading()
 
     def pause_writing(self) -> None:
         self._is_choked = True
@@ -299,6 +318,7 @@
                 payload = self._packets.next(from_zero=is_command)
                 self._count()
                 if payload is None:
+                    self._read_on()
                     return
                 self._sequence = self._packets.sequence
                 if is_command:
@@ -312,6 +332,11 @@
             # Only the connection phase, and packets themselves, end in this: commands are answered.
             self._fatal(Err(ErrorCode.HANDSHAKE, "08S01", str(fault)))
 
+    def _read_on(self) -> None:
+        if self._is_held and self._transport is not None and not self._transport.is_closing():
+            self._is_held = False
+            self._transport.resume_reading()
+
     # Logging in
 
     def _logging_in(self, payload: bytes) -> None:
@@ -419,10 +444,12 @@
             case Command.QUIT:
                 self.close()
             case Command.INIT_DB:
-                self._run(Statement(Does.USE, schema=payload[1:], is_closed=True), payload, Kind.RESULT)
+                if (error := _may_use(self._user, payload[1:])) is not None:
+                    self._answer(error)
+                else:
+                    self._run(Statement(Does.USE, schema=payload[1:], is_closed=True), payload, Kind.RESULT)
             case Command.STATISTICS:
-                told = f"Clients: {len(self.front.clients)}  Open: {self.front.engine.open_requests}"
-                self._answer(Words(told.encode()))
+                self._answer(Words(self.front.statistics().encode()))
             case Command.SET_OPTION:
                 self._set_option(payload, session)
             case Command.RESET_CONNECTION:
@@ -723,12 +750,12 @@
             if payload is not None:
                 data, self._sequence = frame(payload, self._sequence)
                 out += data
-        if out and self._transport is not None:
+        if out and self._transport is not None and not self._transport.is_closing():
             self._transport.write(bytes(out))
 
     def _write(self, payload: bytes) -> None:
         data, self._sequence = frame(payload, self._sequence)
-        if self._transport is not None:
+        if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
     def _write_prepared(self, handle: Handle, parts: list[Part], session: Session) -> None:
--- a/micadeck/mysql/link.py
+++ b/micadeck/mysql/link.py
@@ -127,18 +127,19 @@
         The future raises Lost if the connection ends first.
         """
         over: asyncio.Future[AnswerReader] = asyncio.Future()
-        if self._is_closed or self._transport is None or self._exchange is not None:
+        transport = self._transport
+        if self._is_closed or transport is None or transport.is_closing() or self._exchange is not None:
             over.set_exception(Lost(written=False))
             return over
         self._packets.sequence = 0
         self._exchange = _Exchange(AnswerReader(kind, self.capabilities, columns), part, over)
         data, self._packets.sequence = frame(command, 0)
-        self._transport.write(data)
+        transport.write(data)
         return over
 
     def tell(self, command: bytes) -> None:
         """Write a command that has no answer: STMT_CLOSE, STMT_SEND_LONG_DATA."""
-        if not self._is_closed and self._transport is not None:
+        if not self._is_closed and self._transport is not None and not self._transport.is_closing():
             self._transport.write(frame(command, 0)[0])
 
     @property
@@ -149,6 +150,8 @@
         """Whether it may carry a command: open, with nothing unread, not even the server's end."""
         if self._is_closed or self._exchange is not None or not self._packets.is_empty:
             return False
+        if self._transport is None or self._transport.is_closing():
+            return False
         return self._stream is None or not self._stream.has_unread()
 
     def hold(self) -> None:
--- a/micadeck/standins/mysql/server.py
+++ b/micadeck/standins/mysql/server.py
@@ -287,7 +287,7 @@
                 await self._query(payload[1:].decode("utf-8", "replace"))
             case Command.INIT_DB:
                 try:
-                    self._ok(self.sql.use(payload[1:].decode()))
+                    self._ok(self.sql.use(payload[1:].decode("utf-8", "replace")))
                 except SqlError as fault:
                     self._error(fault)
             case Command.RESET_CONNECTION:
--- a/tests/mysql_stage.py
+++ b/tests/mysql_stage.py
@@ -129,7 +129,7 @@
             each.close()
         service.close()
         roster.close()
-        assert not [defect for server in made for defect in server.defects]
+        assert [defect for server in made for defect in server.defects] == []
         for server in made:
             server.die()
             server.database.close()
--- a/tests/test_mysql_fates.py
+++ b/tests/test_mysql_fates.py
@@ -217,6 +217,7 @@
             client = await stage.connect()
             await ask(client, "SET @code = '0202'")
             assert await ask(client, "SELECT note FROM tariff WHERE code = @code") == [("beef",)]
+            assert "Held for: user variables: 1" in stage.service.front.statistics()
             holder = next(each for each in stage.servers if each.texts("@code"))
             holder.die()
             await until(lambda: stage.service.front.busy == 0)
--- a/tests/test_mysql_program.py
+++ b/tests/test_mysql_program.py
@@ -4,23 +4,27 @@
 
 import asyncio
 import json
+import random
 from pathlib import Path
 from typing import Any
 
 import msgspec
 import pytest
 from click.testing import CliRunner
-from loopback import play, soon, until
-from mysql_stage import PASSWORD, ROWS, ask, configured, given, scene
+from loopback import ConsulDiscovery, consul_config, line, play, soon, until
+from mysql_stage import PASSWORD, ROWS, Scene, ask, configured, given, load, scene
 from test_mysql_sessions import Wire
 
 from micadeck.cli import main
 from micadeck.config import ConfigError, parse
+from micadeck.mysql import config as mysql_config
 from micadeck.mysql.auth import Verifier
-from micadeck.mysql.config import load
 from micadeck.mysql.protocol.constants import Command
+from micadeck.mysql.service import MysqlService
 from micadeck.network import LoopNetwork
 from micadeck.sidecar import Sidecar
+from micadeck.standins.mysql import StandInMysql
+from micadeck.standins.roster import StandInRoster
 
 ROOT = Path(__file__).parent.parent
 
@@ -70,7 +74,7 @@
     secret.write_text("x")
     path = tmp_path / "mysql.toml"
     path.write_text(text.replace("/run/secrets/mysql-password", str(secret)))
-    assert load(path).settings.rules.bound_grace_us == 150_000
+    assert mysql_config.load(path).settings.rules.bound_grace_us == 150_000
 
 
 def _daemon(folder: Path, roster: str, mysql: str) -> dict[str, Any]:
@@ -146,3 +150,84 @@
             assert configured("127.0.0.1:1").name == "mysql"
 
     play(work)
+
+
+def test_any_command_has_an_answer_or_ends_its_connection() -> None:
+    async def work() -> None:
+        chance = random.Random(11)
+        silent = {Command.QUIT, Command.STMT_CLOSE, Command.STMT_SEND_LONG_DATA, Command.CHANGE_USER}
+        async with scene(1) as stage:
+            wire = Wire(await stage.connect())
+            for _ in range(400):
+                command = chance.choice([each for each in range(0x24) if each not in silent])
+                payload = bytes((command,)) + chance.randbytes(chance.randrange(24))
+                if command == Command.QUERY:
+                    payload = bytes((command,)) + b"SELECT " + chance.randbytes(chance.randrange(9))
+                if command == Command.STMT_PREPARE and chance.random() < 0.5:
+                    continue
+                first = (await wire.ask(payload))[0]
+                assert first[:1] in (b"\x00", b"\xff", b"\xfe", b"C"), payload
+                wire = Wire(await stage.connect()) if first[:1] == b"\x00" and len(first) > 11 else wire
+                if len(stage.clients) > 1:
+                    stage.clients.pop(0).close()
+            assert (await wire.ask(bytes((Command.PING,))))[0][:1] == b"\x00"
+            assert not [line for line in stage.log if "internal error" in line]
+
+    play(work)
+
+
+def test_a_client_that_sends_on_and_on_takes_no_room_of_others() -> None:
+    async def work() -> None:
+        async with scene(1, limits={"unfinished_bytes": 1 << 20}) as stage:
+            server = stage.servers[0]
+            server.takes_s = 0.5
+            greedy, other = Wire(await stage.connect()), await stage.connect()
+            greedy.send(bytes((Command.QUERY,)) + b"SELECT COUNT(*) FROM tariff")
+            await until(lambda: bool(server.ran))
+            ping = b"\x01\0\0\0" + bytes((Command.PING,))
+            count = (4 << 20) // len(ping)
+            greedy._writer.write(ping * count)
+            await asyncio.sleep(0.1)
+            assert stage.service.front.read < 1 << 20
+            server.takes_s = 0.0
+            assert await ask(other, "SELECT COUNT(*) FROM tariff") == [(len(ROWS),)]
+            for _ in range(5):  # the statement's answer
+                await greedy.packet()
+            for _ in range(1_000):
+                assert (await greedy.packet())[:1] == b"\x00"  # and then, all in their order
+
+    play(work)
+
+
+def test_servers_come_from_consul_as_they_do_from_the_roster() -> None:
+    async def work() -> None:
+        servers = [StandInMysql("m-0"), StandInMysql("m-1")]
+        discovery = ConsulDiscovery()
+        for server in servers:
+            load(server)
+            await server.start()
+            discovery.servers.append(line(server.name, server.address))
+        await discovery.start()
+        consul = consul_config(discovery.address, doubt_s=0)
+        changes = {**given()["servers"], "consul": consul}
+        service = MysqlService(configured(servers=changes), LoopNetwork(), 7, lambda _: None)
+        service.start()
+        stage = Scene(service, StandInRoster(), servers, [])
+        await until(lambda: len(service.carrier._servers) == 2)
+        client = await stage.connect()
+        for _ in range(20):
+            assert await ask(client, "SELECT COUNT(*) FROM tariff") == [(len(ROWS),)]
+        assert all(server.ran for server in servers)
+        discovery.tell(line("m-0", servers[0].address, state="leaving"))
+        await until(lambda: any(each.is_leaving for each in service.carrier._servers.values()))
+        before = len(servers[0].ran)
+        for _ in range(20):
+            assert await ask(client, "SELECT COUNT(*) FROM tariff") == [(len(ROWS),)]
+        assert len(servers[0].ran) == before
+        client.close()
+        service.close()
+        discovery.stop()
+        for server in servers:
+            server.die()
+
+    play(work)
--- a/tests/test_mysql_sessions.py
+++ b/tests/test_mysql_sessions.py
@@ -161,7 +161,11 @@
             assert refused.value.args[0] == code
             assert not any(PASSWORD in line or "wrong" in line for line in stage.log)
             clerk = await stage.connect(user="clerk")
+            stage.servers[0].database.schemas.add("secrets")
             assert (await ask(clerk, "USE secrets"))[0] == 1044
+            denied = await Wire(clerk).ask(bytes((Command.INIT_DB,)) + b"secrets")
+            assert denied[0][:3] == b"\xff" + (1044).to_bytes(2, "little")
+            assert await ask(clerk, "SELECT DATABASE()") == [("tariff",)]
 
     play(work)
 
@@ -405,7 +409,8 @@
                 answer = (await wire.ask(payload))[0]
                 assert answer[:3] == b"\xff" + code.to_bytes(2, "little"), payload
                 assert (await wire.ask(bytes((Command.PING,))))[0][0] == 0
-            assert b"Clients: 1" in (await wire.ask(bytes((Command.STATISTICS,))))[0]
+            told = (await wire.ask(bytes((Command.STATISTICS,))))[0]
+            assert b"Clients: 1 " in told and b"Held for: nothing" in told
             assert not stage.servers[0].ran
 
     play(work)
