Notice four more ways of breaking MySQL's rules: drains in the carrier, locks left, schemas, preambles

Cause: of eighteen rules broken on purpose, one at a time in a copy, the tests let four pass: a carrier that ignores a drain (the decisions stand before it), connections reset only when they are wanted again, connections with a schema given to sessions without one, and a session that could not be put counted as a statement that may have run.

--- a/tests/test_mysql_fates.py
+++ b/tests/test_mysql_fates.py
@@ -9,7 +9,11 @@
 from loopback import play, soon, until
 from mysql_stage import ROWS, Scene, ask, scene
 
+from magpiemux.interface import Outcome
+from micadeck.mysql.carrier import StatementRequest
 from micadeck.mysql.fates import TABLE, Befell, Transaction, Was
+from micadeck.mysql.protocol.answers import Kind
+from micadeck.mysql.statements import Reader
 from micadeck.standins.mysql import Fault, Point, What
 
 READ = "SELECT * FROM tariff ORDER BY code"
@@ -94,6 +98,43 @@
     play(work)
 
 
+@pytest.mark.parametrize("what", [What.DIE, What.RESET, What.GO_DOWN])
+def test_a_write_goes_elsewhere_if_its_server_is_lost_before_the_session_is_there(what: What) -> None:
+    async def work() -> None:
+        async with scene() as stage:
+            client = await stage.connect(autocommit=True)
+            await ask(client, "SET time_zone = '+04:00'")
+            for server in stage.servers:  # new connections, on which the session must be put first
+                stage.service.carrier.close_idle(server.name)
+            fault_all(stage, "SET NAMES", Point.START, what)
+            assert await ask(client, LODGE) == 1
+            assert stage.lodged("L1") == 1
+
+    play(work)
+
+
+def test_the_carrier_itself_writes_nothing_new_to_a_server_that_drains() -> None:
+    async def work() -> None:
+        async with scene(1) as stage:
+            client = await stage.connect()
+            assert await ask(client, READ) == WHOLE
+            await stage.drain(stage.servers[0])
+            carrier, ended = stage.service.carrier, []
+            session = next(iter(stage.service.front.clients)).session
+            assert session is not None
+            request = StatementRequest(
+                "read", None, None, 1_000_000, None, False, b"x", False,
+                session=session, statement=Reader().read(READ.encode()), command=b"\x03" + READ.encode(),
+                kind=Kind.RESULT, sink=None,  # type: ignore[arg-type]
+            )  # fmt: skip
+            until_us = stage.service.front.network.now() + 1_000_000
+            carrier.start("m-0", until_us, request, lambda outcome, answer, report: ended.append(outcome))
+            await until(lambda: bool(ended))
+            assert ended == [Outcome.UNSENT] and len(stage.ran("FROM tariff")) == 1
+
+    play(work)
+
+
 IN_TRANSACTION = [
     # statement, point, what the client gets, lodgings that took effect
     (LODGE, Point.START, BACK, 0),
--- a/tests/test_mysql_sessions.py
+++ b/tests/test_mysql_sessions.py
@@ -228,6 +228,39 @@
     play(work)
 
 
+def test_what_a_client_held_is_let_go_of_as_soon_as_it_leaves() -> None:
+    async def work() -> None:
+        async with scene(1) as stage:
+            client = await stage.connect()
+            await ask(client, "BEGIN")
+            await ask(client, "INSERT INTO lodged VALUES ('held', 'x')")
+            await ask(client, "SELECT GET_LOCK('tariff', 0)")
+            database = stage.servers[0].database
+            assert database.locks
+            client.close()
+            await until(lambda: not database.locks)  # not only when its connection is wanted again
+            sessions = stage.servers[0].sessions.values()
+            await until(lambda: not any(each.sql.in_transaction for each in sessions))
+            assert stage.lodged("held") == 0
+
+    play(work)
+
+
+def test_a_client_without_a_schema_gets_no_connection_that_has_one() -> None:
+    async def work() -> None:
+        async with scene(1) as stage:
+            first = await stage.connect()
+            assert await ask(first, "SELECT DATABASE()") == [("tariff",)]
+            second = await stage.connect(db=None)
+            assert await ask(second, "SELECT DATABASE()") == [(None,)]
+            await ask(second, "USE tariff")
+            assert await ask(second, "SELECT DATABASE()") == [("tariff",)]
+            third = await stage.connect(db=None)
+            assert await ask(third, "SELECT DATABASE()") == [(None,)]
+
+    play(work)
+
+
 def test_drawn_sessions_on_few_connections_never_cross() -> None:
     """Sixteen clients with variables, schemas and transactions of their own share three connections."""
 
