Call nothing rolled back after an error that may have ended its transaction

Cause, each found by reading the code against the table: a deadlock's error does not say that the transaction is over, and the statement after it commits by itself, yet was told rolled back when its server died; statements that clients prepared stayed at servers for ever; a text that nobody had seen held the event loop up for 5 ms a KiB, up to 64 KiB.

Change: after an error a transaction is in doubt until the server's next word; a prepared statement belongs to its connection's 64; lists and rows of literals are folded before a text is read, and nothing over 4 KiB is.

--- a/micadeck/mysql/carrier.py
+++ b/micadeck/mysql/carrier.py
@@ -489,12 +489,23 @@
                 self._end(call, Outcome.FULL)
                 self._release(link)
                 return
+        if request.kind is Kind.PREPARED and error is None:
+            self._prepared(call, link)
         answer = Answer(link, call.parts, reader)
         self._end(call, Outcome.DELIVERED, answer)
         if not answer.is_kept:
             self._bound.pop(link, None)
             self._release(link)
 
+    def _prepared(self, call: Call, link: Link) -> None:
+        """A client's own prepare: the statement stays on the connection, for whoever executes it there."""
+        key, prepared = (link.state.schema, call.request.command[1:]), call.parts[0]
+        assert isinstance(prepared, Prepared)
+        if key in link.prepared:
+            link.tell(bytes((Command.STMT_CLOSE,)) + prepared.statement.to_bytes(4, "little"))
+        else:
+            link.remember(key, prepared)
+
     def _lost(self, call: Call, link: Link, lost: Lost) -> None:
         if not lost.written:
             self._end(call, Outcome.DIAL_FAILED)
--- a/micadeck/mysql/fates.py
+++ b/micadeck/mysql/fates.py
@@ -121,8 +121,13 @@
 }
 
 
-def was(statement: Statement, *, in_transaction: bool, has_state: bool, is_safe: bool) -> Was:
-    """The row of a statement, by its session before it ran."""
+def was(
+    statement: Statement, *, in_transaction: bool, has_state: bool, is_safe: bool, is_doubtful: bool = False
+) -> Was:
+    """The row of a statement, by its session before it ran.
+
+    `is_doubtful`: an error may have ended the transaction, and then this statement commits by itself.
+    """
     if has_state:
         return Was.PINNED
     if in_transaction:
@@ -130,5 +135,5 @@
             return Was.ROLLBACK
         sets_autocommit = any(name == "autocommit" for name, _ in statement.assignments)
         is_inside = statement.is_plain and not statement.pins and not sets_autocommit
-        return Was.IN_TRANSACTION if is_inside else Was.MAY_COMMIT
+        return Was.IN_TRANSACTION if is_inside and not is_doubtful else Was.MAY_COMMIT
     return Was.READ if is_safe else Was.WRITE
--- a/micadeck/mysql/front.py
+++ b/micadeck/mysql/front.py
@@ -611,6 +611,7 @@
             in_transaction=session.in_transaction,
             has_state=session.has_state_there,
             is_safe=route.is_safe,
+            is_doubtful=session.is_doubtful,
         )
         running = _Running(self, statement, row, front.network.now() + route.deadline_us - _TIME_SPARE_US)
         if self._is_lost:
@@ -672,7 +673,9 @@
         assert request is not None
         if request.handle is not None:
             session.clear_long_data(request.handle)
-        if error is None and running.handle is None:
+        if error is not None:
+            session.failed()
+        elif running.handle is None:
             oks = [each for each in answer.parts if isinstance(each, Ok)]
             ends = [each for each in answer.parts if isinstance(each, (Ok, ResultEnd))]
             warnings = ends[-1].warnings if ends else 0
--- a/micadeck/mysql/session.py
+++ b/micadeck/mysql/session.py
@@ -109,6 +109,7 @@
         self.variables: dict[str, str] = {}
         self.multi = bool(capabilities & Capability.MULTI_STATEMENTS)
         self.pins: set[Pin] = set()
+        self.is_doubtful = False  # a statement of a transaction failed: the server may have ended that
         self.status = Status.AUTOCOMMIT
         self.insert_id = 0
         self.row_count = -1
@@ -122,6 +123,7 @@
         self.names = self._first_names
         self.variables = {}
         self.pins.clear()
+        self.is_doubtful = False
         self.status = Status.AUTOCOMMIT
         self.insert_id, self.row_count = 0, -1
         self.handles.clear()
@@ -216,9 +218,14 @@
         if status is not None:
             self.heard(status)
 
+    def failed(self) -> None:
+        """A server answered with an error, which tells nothing of the transaction: a deadlock ends it."""
+        self.is_doubtful = self.in_transaction
+
     def heard(self, status: Status) -> None:
         """The server's own word on the transaction is the one that counts."""
         was_open = self.in_transaction
+        self.is_doubtful = False
         self.status = status
         if status & Status.DB_DROPPED:
             self.schema = None
@@ -238,6 +245,7 @@
 
     def transaction_lost(self) -> None:
         """The connection that held it is gone, and it with that."""
+        self.is_doubtful = False
         self.status &= ~(Status.IN_TRANS | Status.IN_TRANS_READONLY)
         self.pins -= {Pin.TRANSACTION, Pin.NEXT_TRANSACTION, Pin.DIAGNOSTICS}
 
--- a/micadeck/mysql/statements.py
+++ b/micadeck/mysql/statements.py
@@ -155,8 +155,12 @@
 _COMMENT = re.compile(rb"\s*/\*(?![!+M])[^*/]*\*/")
 _TWO_WAYS = re.compile(rb"--|#|/\*|\\|[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
 _LITERAL = re.compile(r"'(?:[^']|'')*'|\b0[xX][0-9a-fA-F]+\b|(?<![\w.`$])\d+(?:\.\d+)?(?:[eE][+-]?\d+)?\b")
+_LIST = re.compile(r"\?(?:\s*,\s*\?){7,}")  # more than a function that counts its arguments has
+_EIGHT = ", ".join("?" * 8)
+_ROWS = re.compile(r"(\([?,\s]+\))(?:\s*,\s*\1)+")
+_BY_VALUE = re.compile(rb"\s*(?:set|use)\b", re.IGNORECASE)
 _ORDERLY = re.compile(rb"[^\"`@]*")
-_MOST_TEXT = 1 << 16  # bytes that are read for a proof; a longer text is unsafe
+_MOST_TEXT = 1 << 12  # bytes that are read for a proof, which takes 5 ms a KiB; a longer text is unsafe
 _MOST_SHAPES = 4_096
 _DIALECT = MySQL()
 
@@ -173,16 +177,16 @@
 
     def read(self, text: bytes) -> Statement:
         hint, body = _split_hint(text)
-        plain = body.decode("latin-1")
-        shape = plain
-        if not _TWO_WAYS.search(body) and _ORDERLY.fullmatch(body):
-            shape = _LITERAL.sub("?", plain)
+        shape = body.decode("latin-1")
+        if not _TWO_WAYS.search(body) and _ORDERLY.fullmatch(body) and not _BY_VALUE.match(body):
+            # A literal is a literal: what is proved of one holds for all, and for any number in a list.
+            shape = _ROWS.sub(r"\1", _LIST.sub(_EIGHT, _LITERAL.sub("?", shape)))
         known = self._known.get(shape)
-        if known is not None and not (known.assignments or known.schema):
+        if known is not None:
             self._known.move_to_end(shape)
         else:
             self.read_anew += 1
-            known = replace(understand(body), shape=shape[:256])
+            known = replace(understand(shape.encode("latin-1")), shape=shape[:256])
             if len(shape) <= _MOST_TEXT:
                 self._known[shape] = known
                 if len(self._known) > self._most:
--- a/tests/test_mysql_choices.py
+++ b/tests/test_mysql_choices.py
@@ -166,6 +166,12 @@
     for number in range(50):
         assert reader.read(b"SELECT a FROM t WHERE b = '%d' AND c > %d" % (number, number)).is_safe
     assert reader.read_anew == 1
+    for count in (1, 2, 5_000):
+        numbers = ", ".join(map(str, range(count)))
+        assert reader.read(f"SELECT a FROM t WHERE b IN ({numbers})".encode()).is_safe
+        rows = ", ".join(f"({each}, 'x')" for each in range(count))
+        assert reader.read(f"INSERT INTO t VALUES {rows}".encode()).kind is Kind.WRITE
+    assert reader.read_anew == 5  # of lists one with one, two and many; of rows one
     assert not reader.read(b"SELECT a FROM t WHERE b = '1' AND c > 1 FOR UPDATE").is_safe
     assert reader.read(b"SELECT 'a; DELETE FROM t'").is_safe
     assert not reader.read(b"SELECT 'a'; DELETE FROM t").is_safe
@@ -193,6 +199,12 @@
     assert not Reader().read(end.encode()).is_safe
 
 
+def test_a_text_that_would_take_long_to_read_is_not_proved() -> None:
+    long = " OR ".join(f"b{number} = c" for number in range(1_000))
+    assert not Reader().read(f"SELECT a FROM t WHERE {long}".encode()).is_safe
+    assert not Reader().read(b"SELECT " + b"(" * 3_000 + b"1" + b")" * 3_000).is_safe
+
+
 @given(st.binary(max_size=200))
 def test_any_bytes_are_read_as_something(raw: bytes) -> None:
     read = Reader().read(raw)
--- a/tests/test_mysql_fates.py
+++ b/tests/test_mysql_fates.py
@@ -173,6 +173,32 @@
     play(work)
 
 
+def test_after_an_error_in_a_transaction_nothing_is_called_rolled_back_that_may_have_committed() -> None:
+    """A deadlock ends the transaction, which its error does not say: what follows commits by itself."""
+
+    async def work() -> None:
+        async with scene(1) as stage:
+            server = stage.servers[0]
+            client = await stage.connect(autocommit=True)
+            await ask(client, "BEGIN")
+            await ask(client, "INSERT INTO lodged VALUES ('T1', 'desk')")
+            (session,) = [each for each in server.sessions.values() if each.sql.in_transaction]
+            session.sql.run(session.sql.parse("ROLLBACK")[0])  # as a deadlock does
+            assert (await ask(client, "SELECT absent FROM tariff"))[0] == 1054
+            server.faults.append(Fault(LODGE, Point.RAN, What.RESET))
+            assert fails(await ask(client, LODGE), UNKNOWN)
+            assert (stage.lodged("T1"), stage.lodged("L1")) == (0, 1)
+            # With its word that all is well, the transaction is one again.
+            await ask(client, "BEGIN")
+            assert (await ask(client, "SELECT absent FROM tariff"))[0] == 1054
+            assert await ask(client, READ) == WHOLE
+            server.faults.append(Fault("'L2'", Point.RAN, What.RESET))
+            assert fails(await ask(client, "INSERT INTO lodged VALUES ('L2', 'x')"), BACK)
+            assert stage.lodged("L2") == 0
+
+    play(work)
+
+
 @pytest.mark.parametrize(("text", "is_told"), [(LODGE, True), ("COMMIT", True), ("ROLLBACK", False)])
 def test_a_transaction_whose_server_dies_between_statements_is_rolled_back_and_the_next_one_says_so(
     text: str, is_told: bool
--- a/tests/test_mysql_sessions.py
+++ b/tests/test_mysql_sessions.py
@@ -413,6 +413,22 @@
     play(work)
 
 
+def test_preparing_over_and_over_leaves_no_statements_at_servers() -> None:
+    async def work() -> None:
+        async with scene(1) as stage:
+            wire = Wire(await stage.connect())
+            for number in range(300):
+                text = b"SELECT rate, %d FROM tariff WHERE code = ?" % (number % 100)
+                prepared = (await wire.ask(bytes((Command.STMT_PREPARE,)) + text, 6))[0]
+                wire.send(bytes((Command.STMT_CLOSE,)) + prepared[1:5])
+            await wire.ask(bytes((Command.PING,)))
+            server = stage.servers[0]
+            assert server.commands["STMT_PREPARE"] == 300
+            await until(lambda: sum(len(each._prepared) for each in server.sessions.values()) <= 64)
+
+    play(work)
+
+
 _REFUSED = [
     (bytes((Command.BINLOG_DUMP,)) + bytes(10), 1235),
     (bytes((Command.REGISTER_SLAVE,)) + bytes(18), 1235),
