Send no statement to a server whose drain was told while its session was put there

Cause: a statement on a new connection waits for what puts its session there, which takes as long as the server likes; word of a drain in that time was not looked at again, so rule 3 could be broken by a slow server.

Change: the carrier looks after each step, and the statement goes elsewhere. Result: the test fails without it, for a read and for a write.

--- a/micadeck/mysql/carrier.py
+++ b/micadeck/mysql/carrier.py
@@ -409,7 +409,7 @@
         commands += put(link.state, session, statement)
         for command in commands:
             reader = await self._ask(call, link, command, Kind.RESULT)
-            if call.ended:
+            if call.ended or self._drains_by_now(call, link):
                 return False
             if reader.error is not None:
                 link.state.is_dirty = True  # what was taken for set is not
@@ -433,7 +433,7 @@
             reader = await link.exchange(command, Kind.PREPARED, parts.append)
         except Lost:
             raise Lost(written=False) from None
-        if call.ended:
+        if call.ended or self._drains_by_now(call, link):
             return False
         if reader.error is not None:
             if reader.error.code in _ELSEWHERE:
@@ -453,6 +453,19 @@
             return False
         return True
 
+    def _drains_by_now(self, call: Call, link: Link) -> bool:
+        """Whether word of its server's drain came while the session was put there; that ends the attempt.
+
+        Guards rule 3: what comes before a statement may take as long as the server likes.
+        """
+        home = self._homes.get(link)
+        bound = call.request.link is not None
+        if home is not None and (self.takes_bound(link) if bound else not home.is_leaving):
+            return False
+        self._end(call, Outcome.UNSENT)
+        self._release_unless_bound(call, link)
+        return True
+
     async def _ask(self, call: Call, link: Link, command: bytes, kind: Kind) -> AnswerReader:
         try:
             return await link.exchange(command, kind, _ignore)
--- a/tests/test_mysql_fates.py
+++ b/tests/test_mysql_fates.py
@@ -113,6 +113,23 @@
     play(work)
 
 
+@pytest.mark.parametrize("text", [READ, LODGE])
+def test_word_of_a_drain_while_the_session_is_put_there_sends_the_statement_elsewhere(text: str) -> None:
+    async def work() -> None:
+        async with scene() as stage:
+            client = await stage.connect(autocommit=True)
+            for server in stage.servers:
+                server.takes_s = 0.3  # also for what puts the session there
+            asked = asyncio.create_task(ask(client, text))
+            await until(lambda: bool(stage.ran("SET NAMES")))
+            first = stage.server_of("SET NAMES")
+            await stage.drain(first)
+            assert await soon(asked) == (WHOLE if text == READ else 1)
+            assert not first.texts(text)
+
+    play(work)
+
+
 def test_the_carrier_itself_writes_nothing_new_to_a_server_that_drains() -> None:
     async def work() -> None:
         async with scene(1) as stage:
