Eject a server only for failures that chance does not explain, as the others fail

Change: what fails at all other servers in the last four aims gives how long a row must be before chance makes it rarer than 1 in 10,000; never shorter than before.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -64,6 +64,8 @@
 )
 STRIKES_DROPPED = 3  # or so many that end in a broken connection, which may be the way's fault
 STRIKES = 2  # failures in a row, none answered between, that eject a server
+BY_CHANCE = 1e-4  # and never a row that chance makes likelier than this, where the others fail as they do
+FAILING_AIMS = 4.0  # what fails is counted over so many of the longest aim
 EJECT_AIMS = 2.0  # first ejection lasts this many of the longest aim; it doubles with each failed trial
 EJECT_AIMS_MOST = 16.0  # and never lasts longer: a server that came back is found again
 SILENT_MOST = 0.34  # no more than this share is ejected for silence alone: more is overload, not sickness
@@ -125,10 +127,12 @@
     __slots__ = (
         "allowance",
         "allowance_at",
+        "bad",
         "cell",
         "cold_since",
         "ejected_until",
         "ejections",
+        "ended",
         "ghosts",
         "idle_since",
         "in_flight",
@@ -148,8 +152,10 @@
         "zone",
     )
 
-    def __init__(self, name: str, place: float) -> None:
+    def __init__(self, name: str, place: float, failing_us: float) -> None:
         self.name = name
+        self.bad = Rate(failing_us)  # attempts that failed
+        self.ended = Rate(failing_us)  # and all that ended
         self.place = place  # chance, drawn once: this balancer's order of the servers
         self.zone = ""
         self.cell = 0
@@ -297,6 +303,8 @@
         self._mean_size = 1.0
         self._cold: dict[str, Server] = {}  # those that turned cold, until it is seen that they are not
         self._bearable_at = -1
+        self._bad = Rate(FAILING_AIMS * self._longest_aim)  # attempts that failed, at all servers
+        self._ended = Rate(FAILING_AIMS * self._longest_aim)  # and all that ended
         self._answers = 0  # answers so far, from all servers
         self._extra = EXTRA_PER_REQUEST * EXTRA_SAVED / 2
         self._mean_cost: dict[str, float] = {}
@@ -410,7 +418,9 @@
     def _server_listed(self, line: ListedServer) -> None:
         server = self._servers.get(line.server)
         if server is None:
-            server = self._servers[line.server] = Server(line.server, self._random.random())
+            server = self._servers[line.server] = Server(
+                line.server, self._random.random(), self._bad.span_us
+            )
         server.zone = line.zone
         server.cell = line.cell
         if server.state is ServerState.GONE or line.nominal != server.nominal:
@@ -1067,6 +1077,7 @@
         if server.trial is attempt:
             server.trial = None
         if outcome in (Outcome.DELIVERED, Outcome.REJECTED):
+            self._count_end(server, 0.0)
             server.strikes = server.spoilt = 0
             server.last_answer_at = self._now
             self._answered_on_idle(attempt)
@@ -1086,8 +1097,11 @@
                 return  # it is slow, not sick: it answered others meanwhile
             if outcome in (Outcome.EXPIRED, Outcome.DROPPED) and self._silent_on_idle(attempt) and not trial:
                 return
+            self._count_end(server, 1.0)
             server.strikes += 1
-            enough = STRIKES_DROPPED if outcome is Outcome.DROPPED else STRIKES
+            enough = max(
+                STRIKES_DROPPED if outcome is Outcome.DROPPED else STRIKES, self._row_by_chance(server)
+            )
             if trial or (server.strikes >= enough and server.ejected_until is None):
                 self._eject(server, outcome.value)
                 if trial and outcome is Outcome.DIAL_FAILED:
@@ -1095,6 +1109,24 @@
                     # say less: the way may do that, and a fleet held for cold has no room for anyone.
                     self._turned_cold(server, self._now)
 
+    def _count_end(self, server: Server, bad: float) -> None:
+        for rate, amount in ((self._bad, bad), (self._ended, 1.0), (server.bad, bad), (server.ended, 1.0)):
+            rate.add(self._now, amount)
+
+    def _row_by_chance(self, server: Server) -> float:
+        """The least row of failures at this server that chance does not explain, as often as the others fail.
+
+        Guards against ejecting one after the other on a day that breaks connections to all alike: nobody is
+        worse than the rest, and each that is taken out leaves more for them.  Where nothing else fails, no
+        row is by chance; where all does, each is, and nobody is ejected for it.
+        """
+        now = self._now
+        ended = self._ended.per_us(now) - server.ended.per_us(now)
+        bad = self._bad.per_us(now) - server.bad.per_us(now)
+        if ended <= 0.0 or bad <= 0.0:
+            return 0.0
+        return math.log(BY_CHANCE) / math.log(min(bad / ended, 0.99))
+
     def _eject(self, server: Server, reason: str, most: float = EJECTED_MOST) -> None:
         if server.ejected_until is None:
             if len(self._ejected) + 1 > most * min(len(self._ready), self._reach()):
@@ -1254,17 +1286,17 @@
 class Rate:
     """A rate over a sliding span of time: an exponentially fading count."""
 
-    __slots__ = ("_at", "_count", "_span_us")
+    __slots__ = ("_at", "_count", "span_us")
 
     def __init__(self, span_us: float) -> None:
-        self._span_us = span_us
+        self.span_us = span_us
         self._count = 0.0
         self._at = 0
 
     def over(self, span_us: float) -> None:
         """Average over another span from now on."""
-        self._count *= span_us / self._span_us
-        self._span_us = span_us
+        self._count *= span_us / self.span_us
+        self.span_us = span_us
 
     def add(self, now: int, amount: float) -> None:
         self._fade(now)
@@ -1272,9 +1304,9 @@
 
     def per_us(self, now: int) -> float:
         self._fade(now)
-        return self._count / self._span_us
+        return self._count / self.span_us
 
     def _fade(self, now: int) -> None:
         if now > self._at:
-            self._count *= math.exp((self._at - now) / self._span_us)
+            self._count *= math.exp((self._at - now) / self.span_us)
             self._at = now
