--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -66,6 +66,7 @@
 STRIKES = 2  # failures in a row, none answered between, that eject a server
 BY_CHANCE = 1e-4  # and never a row that chance makes likelier than this, where the others fail as they do
 FAILING_AIMS = 4.0  # what fails is counted over so many of the longest aim
+ENOUGH_ENDS = 50.0  # fewer attempts at the others than this in that time tell nothing of chance
 EJECT_AIMS = 2.0  # first ejection lasts this many of the longest aim; it doubles with each failed trial
 EJECT_AIMS_MOST = 16.0  # and never lasts longer: a server that came back is found again
 SILENT_MOST = 0.34  # no more than this share is ejected for silence alone: more is overload, not sickness
@@ -1123,7 +1124,7 @@
         now = self._now
         ended = self._ended.per_us(now) - server.ended.per_us(now)
         bad = self._bad.per_us(now) - server.bad.per_us(now)
-        if ended <= 0.0 or bad <= 0.0:
+        if ended * self._ended.span_us < ENOUGH_ENDS or bad <= 0.0:
             return 0.0
         return math.log(BY_CHANCE) / math.log(min(bad / ended, 0.99))
 
