--- a/micadeck/config.py
+++ b/micadeck/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib
 import json
 import os
 from collections.abc import Mapping
@@ -93,8 +94,8 @@
         peer_listen=_optional_address("peer_listen", given.get("peer_listen")),
         peers=tuple(_address(f"peers[{index}]", each) for index, each in enumerate(peers)),
         peers_all=_optional_address("peers_all", given.get("peers_all")),
-        consul=_consul(given.get("consul")),
-        mysql=_mysql(given.get("mysql")),
+        consul=_of_file("consul", given.get("consul"), "micadeck.membership.consul.config"),
+        mysql=_of_file("mysql", given.get("mysql"), "micadeck.mysql.config"),
         trace=_trace(given.get("trace")),
     )
 
@@ -106,36 +107,20 @@
     return read("discovery", given.get("discovery"))
 
 
-def _consul(path: object) -> ConsulConfig | None:
-    """The file that the key names; what reads it is loaded only if there is one."""
+def _of_file(key: str, path: object, module: str) -> Any:
+    """What the file that the key names holds; the module that reads it is loaded only if there is one."""
     if path in (None, ""):
         return None
     if not isinstance(path, str):
-        raise ConfigError(f"consul: the path of a file is needed, not {path!r:.60}")
+        raise ConfigError(f"{key}: the path of a file is needed, not {path!r:.60}")
     try:
-        from micadeck.membership.consul import config
+        config = importlib.import_module(module)
     except ImportError as missing:
-        raise ConfigError(f"consul: install micadeck[consul]: {missing}") from None
+        raise ConfigError(f"{key}: install micadeck[{key}]: {missing}") from None
     try:
         return config.load(path)
-    except config.ConsulConfigError as fault:
-        raise ConfigError(f"consul: {fault}") from None
-
-
-def _mysql(path: object) -> MysqlConfig | None:
-    """The file that the key names; what reads it is loaded only if there is one."""
-    if path in (None, ""):
-        return None
-    if not isinstance(path, str):
-        raise ConfigError(f"mysql: the path of a file is needed, not {path!r:.60}")
-    try:
-        from micadeck.mysql import config
-    except ImportError as missing:
-        raise ConfigError(f"mysql: install micadeck[mysql]: {missing}") from None
-    try:
-        return config.load(path)
-    except config.MysqlConfigError as fault:
-        raise ConfigError(f"mysql: {fault}") from None
+    except ValueError as fault:  # of each such module, its own error
+        raise ConfigError(f"{key}: {fault}") from None
 
 
 def _trace(path: object) -> str:
--- a/micadeck/mysql/carrier.py
+++ b/micadeck/mysql/carrier.py
@@ -57,7 +57,6 @@
     sink: Sink
     link: Link | None = None  # the session's own, if it is bound to one
     handle: Handle | None = None  # of an execution
-    columns: int = 0  # of a fetch
     error: Err | None = None  # why a server would not have the session
 
 
@@ -485,7 +484,7 @@
                 link.tell(head + bytes(data))
             command = command[:1] + number + command[5:]
         call.is_written = True
-        return await link.exchange(command, request.kind, call.part, request.columns)
+        return await link.exchange(command, request.kind, call.part)
 
     # How attempts end
 
--- a/micadeck/mysql/front.py
+++ b/micadeck/mysql/front.py
@@ -636,7 +636,6 @@
             sink=running,
             link=self._link,
             handle=handle,
-            columns=0,
         )
         self._running = running
         # The engine may answer before it gives the number, but never begins to stream before.
--- a/micadeck/mysql/link.py
+++ b/micadeck/mysql/link.py
@@ -120,7 +120,7 @@
         return link
 
     def exchange(
-        self, command: bytes, kind: Kind, part: Callable[[Part], None], columns: int = 0
+        self, command: bytes, kind: Kind, part: Callable[[Part], None]
     ) -> asyncio.Future[AnswerReader]:
         """Write a command; each part of its answer goes to `part`, and the whole reader to the future.
 
@@ -132,7 +132,7 @@
             over.set_exception(Lost(written=False))
             return over
         self._packets.sequence = 0
-        self._exchange = _Exchange(AnswerReader(kind, self.capabilities, columns), part, over)
+        self._exchange = _Exchange(AnswerReader(kind, self.capabilities), part, over)
         data, self._packets.sequence = frame(command, 0)
         transport.write(data)
         return over
--- a/micadeck/mysql/protocol/answers.py
+++ b/micadeck/mysql/protocol/answers.py
@@ -99,11 +99,11 @@
     After that, `status` is that of the last OK or EOF, and `error` the ERR that ended it, if one did.
     """
 
-    def __init__(self, kind: Kind, capabilities: Capability, columns: int = 0) -> None:
+    def __init__(self, kind: Kind, capabilities: Capability) -> None:
         self._capabilities = capabilities
         self._deprecates_eof = bool(capabilities & Capability.DEPRECATE_EOF)
         self._kind = kind
-        self._left = columns
+        self._left = 0  # definitions
         self._after: Prepared | None = None
         self.at = At.ROWS if kind is Kind.FETCHED else At.HEAD
         self.status: Status | None = None
