Word the schema library's complaints in one place, and test that TLS is declined in words

Cause: Consul's and MySQL's configurations turned the same complaint round in two places; a client's request for TLS had no test.

--- a/micadeck/membership/consul/config.py
+++ b/micadeck/membership/consul/config.py
@@ -11,6 +11,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from micadeck.keys import key_and_text
 from micadeck.membership.consul.protocol import Ask, Mode
 from micadeck.membership.consul.states import Names
 from micadeck.membership.merge import Trust
@@ -117,14 +118,8 @@
     try:
         return msgspec.convert(given, _File)
     except msgspec.ValidationError as fault:
-        text, _, at = str(fault).partition(" - at `$")
-        path = at.rstrip("`").lstrip(".")
-        # A key that is missing or unknown is named in the text, not in the path.
-        named = re.search(r"(?:unknown|missing required) field `([^`]*)`", text)
-        if named is not None:
-            path = ".".join(each for each in (path, named[1]) if each)
-            text = "there is no such key" if "unknown" in text else "it is needed"
-        if path in ("agents", "services") and (named is not None or "length" in text):
+        path, text, is_named = key_and_text(str(fault))
+        if path in ("agents", "services") and (is_named or "length" in text):
             text = f"at least one {'address' if path == 'agents' else 'service'} is needed"
         raise ConsulConfigError(f"{path or 'the file'}: {text}") from None
 
--- a/micadeck/mysql/config.py
+++ b/micadeck/mysql/config.py
@@ -13,6 +13,7 @@
 from magpiemux import Settings
 from magpiemux.interface import ListedServer, Repeat
 from micadeck.engine import Entry, Listing
+from micadeck.keys import key_and_text
 from micadeck.membership.consul.config import ConsulConfig, ConsulConfigError
 from micadeck.membership.consul.config import load as load_consul
 from micadeck.mysql.auth import User, Verifier, parse_native
@@ -153,7 +154,8 @@
     try:
         file = msgspec.convert(given, _File)
     except msgspec.ValidationError as fault:
-        raise MysqlConfigError(_named(str(fault))) from None
+        path, text, _ = key_and_text(str(fault))
+        raise MysqlConfigError(f"{path or 'the file'}: {text}") from None
     limits = file.limits
     servers = file.servers
     settings = _settings(file)
@@ -198,18 +200,6 @@
     raise MysqlConfigError(f"{key}: {what}")
 
 
-def _named(fault: str) -> str:
-    """The complaint of the schema library, with the key first."""
-    text, _, at = fault.partition(" - at `$")
-    path = at.rstrip("`").lstrip(".")
-    # A key that is missing or unknown is named in the text, not in the path.
-    named = re.search(r"(?:unknown|missing required) field `([^`]*)`", text)
-    if named is not None:
-        path = ".".join(each for each in (path, named[1]) if each)
-        text = "there is no such key" if "unknown" in text else "it is needed"
-    return f"{path or 'the file'}: {text}"
-
-
 def _settings(file: _File) -> Settings:
     for number, each in enumerate(file.classes):
         if each.aim_ms > each.deadline_ms:
--- a/tests/test_mysql_program.py
+++ b/tests/test_mysql_program.py
@@ -19,7 +19,7 @@
 from micadeck.config import ConfigError, parse
 from micadeck.mysql import config as mysql_config
 from micadeck.mysql.auth import Verifier
-from micadeck.mysql.protocol.constants import Command
+from micadeck.mysql.protocol.constants import Capability, Command
 from micadeck.mysql.service import MysqlService
 from micadeck.network import LoopNetwork
 from micadeck.sidecar import Sidecar
@@ -141,6 +141,13 @@
                 writer.write_eof()
                 await soon(reader.read())
                 writer.close()
+            # A request for TLS, which was not offered, is declined in words.
+            reader, writer = await asyncio.open_connection("127.0.0.1", stage.service.port)
+            await soon(reader.readexactly(4))
+            asked = int(Capability.PROTOCOL_41 | Capability.SSL).to_bytes(4, "little") + bytes(28)
+            writer.write(len(asked).to_bytes(3, "little") + b"\x01" + asked)
+            assert b"TLS was not offered" in await soon(reader.read())
+            writer.close()
             client = await stage.connect()
             wire = Wire(client)
             wire._writer.write(b"\x01\0\0\x05" + bytes((Command.PING,)))  # a wrong number
