Notice a watch that fell silent in 3 s, and ask anew for a list that is doubted

Cause: a watch's call waited 20 s for news and had 2 s more to answer (membership/roster.py, _WATCH_MS and _WATCH_WITHIN_S), so a silent one was begun anew up to 22 s later; what it misses counts as told after 6 s.

Rejected: a ping beside a long call (the silent connection is the one that counts), TCP keep-alive (a kernel answers it for a silent program).

The simulation has watches that fall silent and an oracle that nothing new goes to a server 6.5 s after it left; 200 sidecars, one watch or all. A build that waits for 20 s is found. tests/test_vigil.py: five moments of a watch's life, asked and pushed.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	touch $(BIN)/ruff
 
 test: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 5
 
 lint: setup
 	$(BIN)/ruff check .
--- a/micadeck/engine/ports.py
+++ b/micadeck/engine/ports.py
@@ -125,6 +125,9 @@
     def fetch(self) -> None:
         """Tell the whole list once."""
 
+    def doubt(self) -> None:
+        """Nobody listens where the list has a server: see whether the list is still discovery's own."""
+
     def close(self) -> None: ...
 
 
--- a/micadeck/membership/roster.py
+++ b/micadeck/membership/roster.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -11,15 +12,14 @@
 from micadeck.engine import Entry, Listing
 from micadeck.http.client import ClientConnection, Failure
 from micadeck.http.h1 import Request, Response
-from micadeck.network import Address, Network, parse_address
+from micadeck.membership.vigil import Vigil
+from micadeck.network import Address, Network, Timer, parse_address
 
 _STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 _PATH = "/catalog/members"
 _MOST_BYTES = 4 << 20  # of a whole list
 _ANSWER_WITHIN_S = 5.0  # for a call that waits for nothing
-_WATCH_WITHIN_S = 2.0  # and for a watch, beyond its wait: what is told later counts as told all the same
 _DIAL_WITHIN_S = 1.0
-_WATCH_MS = 20_000  # how long a watch may wait for news
 _PUSHED_AGAIN_S = 0.2  # where lists are pushed nobody asks again: a broken watch is taken up after this
 _MOST_CALLS = 8  # at once; more fail unasked
 
@@ -87,11 +87,23 @@
 class Roster:
     """Calls to discovery.  Every `follow` and `fetch` is answered by one call of `on_list` or `on_failed`."""
 
-    def __init__(self, network: Network, address: Address, version: int | None, pushed: bool) -> None:
+    def __init__(
+        self,
+        network: Network,
+        address: Address,
+        version: int | None,
+        pushed: bool,
+        *,
+        allowed_us: int = 10_000_000,
+        seed: int | str = 0,
+    ) -> None:
         self._network = network
         self._address = address
         self._version = version
         self._pushed = pushed
+        self._vigil = Vigil(allowed_us, random.Random(seed), is_pushed=pushed)
+        self._renewal: Timer | None = None
+        self._wants_whole = False  # whether the watch begins with the whole list
         self._on_list: Callable[[Listing], None] = _ignore
         self._on_failed: Callable[[], None] = _ignore_nothing
         self._is_followed = pushed
@@ -125,6 +137,33 @@
             self._watch_answered = False
             self._watch = self._spawn(self._follow())
 
+    def allow(self, allowed_us: int) -> None:
+        """Go by another time that the settings allow without asking."""
+        self._vigil.allow(allowed_us)
+
+    def doubt(self) -> None:
+        """Something speaks against the list: the watch is begun anew, unless it confirms the list by then."""
+        now = self._network.now()
+        due = self._vigil.doubted(now)
+        if due is not None:
+            self._renewal = self._network.call_later((due - now) / 1e6, self._renew)
+
+    def _renew(self) -> None:
+        """Ask for everything: what changed since a version says nothing where the version is in doubt.
+
+        A watch that waits for its first answer, or failed and is asked for again by the decisions, is left
+        alone: guards against storms on a discovery that is slow or down.
+        """
+        self._renewal = None
+        is_watched = self._watch is not None and not self._watch.done() and self._watch_answered
+        if not is_watched or not self._vigil.is_due(self._network.now()):
+            return
+        assert self._watch is not None
+        self._watch.cancel()
+        self._watch_answered = False
+        self._wants_whole = True
+        self._watch = self._spawn(self._hear_pushed() if self._pushed else self._follow())
+
     def fetch(self) -> None:
         """Ask once for the whole list."""
         if len(self._tasks) >= _MOST_CALLS:
@@ -149,12 +188,15 @@
         self._tasks.clear()
         self._fetches.clear()
         self._watch, self._watch_answered = None, False
+        self._vigil.moved()
         if self._is_followed:
             self._watch = self._spawn(self._hear_pushed() if self._pushed else self._follow())
         for _ in range(fetches):
             self.fetch()
 
     def close(self) -> None:
+        if self._renewal is not None:
+            self._renewal.cancel()
         for task in self._tasks:
             task.cancel()
 
@@ -167,10 +209,12 @@
     async def _fetch(self) -> None:
         line, changes = _Line(self._network, self._address), self._changes
         try:
-            listing = await line.call(None, 0)
+            listing = await line.call(None, 0, _ANSWER_WITHIN_S)
         except CallFailed:
             self._on_failed()
         else:
+            if self._version is not None and listing.version > self._version:
+                self.doubt()  # the watch should have said so
             self._heard(listing, changes)
         finally:
             line.close()
@@ -193,14 +237,18 @@
         """Watch until a call fails.  The first call waits for nothing, so that it is answered soon."""
         line = _Line(self._network, self._address)
         try:
-            wait_ms = 0
+            wait_ms, within_s = 0, _ANSWER_WITHIN_S
             while True:
                 changes = self._changes
-                listing = await line.call(self._version, wait_ms)
+                after = None if self._wants_whole else self._version
+                listing = await line.call(after, wait_ms, within_s)
+                self._wants_whole = False
+                brought_news = listing.version != self._version
+                self._vigil.confirmed(self._network.now(), brought_news=brought_news)
                 if listing.full or listing.entries or not self._watch_answered:
                     self._watch_answered = True
                     self._heard(listing, changes)
-                wait_ms = _WATCH_MS
+                wait_ms, within_s = self._vigil.wait_ms, self._vigil.within_s
         finally:
             line.close()
 
@@ -231,12 +279,10 @@
         if self._connection is not None:
             self._connection.close()
 
-    async def call(self, after: int | None, wait_ms: int) -> Listing:
+    async def call(self, after: int | None, wait_ms: int, within_s: float) -> Listing:
         target = _PATH if after is None else f"{_PATH}?after={after}&wait_ms={wait_ms}"
         try:
-            async with self._network.timeout(
-                wait_ms / 1_000 + _WATCH_WITHIN_S if wait_ms else _ANSWER_WITHIN_S
-            ):
+            async with self._network.timeout(within_s):
                 response = await self._get(target.encode())
         except (OSError, TimeoutError) as fault:
             raise CallFailed(str(fault)) from None
--- a/micadeck/membership/sources.py
+++ b/micadeck/membership/sources.py
@@ -142,6 +142,10 @@
         else:
             self._network.call_soon(self._answer)
 
+    def doubt(self) -> None:
+        if self._roster is not None:
+            self._roster.doubt()
+
     def close(self) -> None:
         self._is_closed = True
         if self._roster is not None:
@@ -261,6 +265,8 @@
             # Who is gone comes first: that must not wait behind thousands that are there.
             some_gone = list(islice(left, _AT_ONCE))
             some = list(islice(news.sightings, _AT_ONCE - len(some_gone)))
+            if some_gone or any(each.caution is not Caution.READY for each in some):
+                self.doubt()  # what ends here may be listed there: has the roster been heard since?
             self.merge.changed(self._now(), name, some, some_gone, lag_s=heard.lag_s)
             self._tell()
             if len(some) + len(some_gone) < _AT_ONCE:
--- a/micadeck/mysql/service.py
+++ b/micadeck/mysql/service.py
@@ -35,6 +35,9 @@
     def fetch(self) -> None:
         self._on_list(self._listing)
 
+    def doubt(self) -> None:
+        """There is nobody to ask."""
+
     def replace(self, listing: Listing) -> None:
         self._listing = Listing(self._listing.version + 1, True, listing.entries)
         self._on_list(self._listing)
@@ -64,7 +67,12 @@
         self.carrier = Carrier(network, settings, config.credentials, config.carrier, log)
         self._source: Source
         self._static: Static | None = None
-        roster = Roster(network, config.discovery, 0, False) if config.discovery is not None else None
+        roster: Roster | None = None
+        if config.discovery is not None:
+            allowed_us = settings.rules.ask_within_us
+            roster = Roster(
+                network, config.discovery, 0, False, allowed_us=allowed_us, seed=f"{seed} {config.name}"
+            )
         if config.consul is not None:
             self._source = Sources(network, roster, config.known, config.consul, seed, config.name, log)
         elif roster is not None:
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -74,7 +74,16 @@
         self.upstream = Upstream(network, settings, self.budget)
         is_pushed = settings.discovery is Discovery.PUSHED
         self.roster = (
-            Roster(network, config.discovery, config.known.version, is_pushed) if config.discovery else None
+            Roster(
+                network,
+                config.discovery,
+                config.known.version,
+                is_pushed,
+                allowed_us=settings.rules.ask_within_us,
+                seed=f"{config.seed} {config.name}",
+            )
+            if config.discovery
+            else None
         )
         self.sources = self._with_consul(config)
         source = self.sources or self.roster
@@ -144,6 +153,8 @@
             return
         self.config = replace(self.config, settings=settings)
         self.upstream.retune(settings)
+        if self.roster is not None:
+            self.roster.allow(settings.rules.ask_within_us)
         self.engine.retune(settings)
 
     def reload(self, config: Config, announce: Callable[[Settings], object] | None = None) -> None:
--- a/micadeck/simulation/oracles.py
+++ b/micadeck/simulation/oracles.py
@@ -23,6 +23,7 @@
 
 SLACK_S = 0.03  # for an answer to cross the network, and for a tick
 GRACE_S = 0.5  # rule 3
+LISTS_S = 6.0  # what discovery has to tell counts as told by then, whether or not it arrived
 FALL_S = 1.0  # rule 4: in any such span
 FALL_MULTIPLE = 3.0  # no more than so many times what it can do
 _FALL_CHANCE = 3.0  # and so many mean requests beside, for chance
@@ -81,6 +82,9 @@
         self._heard: dict[str, dict[str, tuple[str, float, int]]] = {}  # by sidecar: state, since, started_ms
         self._sent: dict[str, deque[tuple[float, float]]] = {}  # work that reached a cold server, lately
         self._fell: set[str] = set()
+        self._ended: dict[str, float] = {}  # servers that are listed as leaving or gone, since when
+        self._unheard = 0  # faults by which nobody can be told anything
+        self._well_at = 0.0  # when the last of these was over
 
     # The account
 
@@ -217,6 +221,20 @@
         ]
         return sum(told) * 3 >= 2 * len(self._heard)
 
+    # What discovery has to tell (rule 3)
+
+    def listed(self, server: str, state: str) -> None:
+        """Discovery's own list says this of a server from now on."""
+        if state == "active":
+            self._ended.pop(server, None)
+        else:
+            self._ended.setdefault(server, self._loop.time())
+
+    def told_nothing(self, begins: bool) -> None:
+        """A fault begins, or ends, under which discovery can tell nobody anything."""
+        self._unheard += 1 if begins else -1
+        self._well_at = self._loop.time()
+
     # What the wire carries (rules 2 and 3)
 
     def listen_in(self, pipe: Pipe, data: bytes, has_landed: bool) -> None:
@@ -244,6 +262,14 @@
         """A request's first byte leaves a sidecar."""
         upward.began_at = self._loop.time()
         sidecar, server = transport.machine.host.name, self.servers[upward.server]
+        ended_at = self._ended.get(server.name)
+        if ended_at is not None and not self._unheard:
+            late_s = upward.began_at - max(ended_at, self._well_at) - LISTS_S - GRACE_S
+            if late_s > 0.0:
+                self.broke(
+                    "lists",
+                    f"{sidecar} begins a request at {server.name}, which left {late_s:.3f} s too long",
+                )
         heard = self._heard.get(sidecar, {}).get(server.name)
         if heard is not None and heard[0] != "active" and upward.began_at > heard[1] + GRACE_S:
             self.broke(
--- a/micadeck/simulation/scenario.py
+++ b/micadeck/simulation/scenario.py
@@ -32,6 +32,7 @@
     LATE_LISTS = "late lists"  # discovery answers amount seconds late
     OLD_LISTS = "old lists"  # discovery goes on telling what it knew
     DOWN = "discovery down"
+    SILENT = "silent watches"  # what is open to discovery falls silent for good; amount 1: for all sidecars
     NEW_DISCOVERY = "new discovery"  # another address, told by a reload; the old one goes down
     KILL = "kill"  # a sidecar is killed, and starts again after for_s on the list of the day's start
     TERM = "term"  # it gets SIGTERM, ends, and starts again
@@ -125,12 +126,10 @@
     servers = drawn.randint(3, 8)
     sidecars = drawn.choice((1, 2, 2, 3))
     length_s = drawn.uniform(2.0, 4.0)
-    kinds = drawn.sample(list(Kind), drawn.randint(1, 6))
+    kinds = drawn.sample([each for each in Kind if each is not Kind.SILENT], drawn.randint(1, 6))
     count = drawn.choice((0, 2, 4, 6, 9, _MOST_FAULTS))
-    faults = sorted(
-        (_fault(drawn, drawn.choice(kinds), servers, sidecars, length_s) for _ in range(count)),
-        key=lambda each: each.at_s,
-    )
+    faults = [_fault(drawn, drawn.choice(kinds), servers, sidecars, length_s) for _ in range(count)]
+    faults = sorted(faults + _silences(seed, sidecars, length_s), key=lambda each: each.at_s)
     return Scenario(
         seed=seed,
         sidecars=sidecars,
@@ -180,6 +179,20 @@
     )
 
 
+def _silences(seed: int, sidecars: int, length_s: float) -> list[Fault]:
+    """Watches that fall silent, on a quarter of the days; by draws of their own, so that the rest stays."""
+    drawn = random.Random(seed * 8 + 5)
+    return [
+        Fault(
+            at_s=round(drawn.uniform(0.1, length_s), 1),
+            kind=Kind.SILENT,
+            target=drawn.randrange(sidecars),
+            amount=float(drawn.random() < 0.4),
+        )
+        for _ in range(drawn.choice((0, 0, 0, 1, 1, 2)) if drawn.random() < 0.5 else 0)
+    ]
+
+
 class Order(msgspec.Struct, frozen=True):
     """Something that a client wants: one request, and again after a refusal."""
 
--- a/micadeck/simulation/world.py
+++ b/micadeck/simulation/world.py
@@ -338,6 +338,7 @@
             else 1_700_000_000_000 + int(server.started_at * 1e3),
         }
         self.discovery._change(server.name, entry)
+        self.oracles.listed(server.name, state)
         if self.registry is not None:
             self.registry.put(entry)
 
@@ -425,7 +426,7 @@
         return end
 
     def _late_lists(self, fault: Fault) -> Callable[[], None]:
-        return _all(_among(each.late_s, fault.amount) for each in self._sources())
+        return self._unheard([_among(each.late_s, fault.amount) for each in self._sources()])
 
     def _sources(self) -> list[Discovery | Registry]:
         return [self.discovery] if self.registry is None else [self.discovery, self.registry]
@@ -434,13 +435,23 @@
         sources = self._sources()
         for each in sources:
             each.stick()
-        return _all(each.move_on for each in sources)
+        return self._unheard(each.move_on for each in sources)
+
+    def _unheard(self, ends: Iterable[Callable[[], None]]) -> Callable[[], None]:
+        """Nobody can be told anything until these have been called."""
+        self.oracles.told_nothing(True)
+        return _all([*ends, lambda: self.oracles.told_nothing(False)])
 
     def _down(self, fault: Fault) -> Callable[[], None]:
         sources = self._sources()
         for each in sources:
             each.go_down()
-        return _all(each.come_back for each in sources)
+        return self._unheard(each.come_back for each in sources)
+
+    def _silent(self, fault: Fault) -> None:
+        """For one sidecar or for all; where Consul tells the servers, it is the roster of nobody."""
+        towards = None if fault.amount else self._process(fault).address[0]
+        self.oracles.counts["watch fell silent"] += self.discovery.fall_silent(towards)
 
     def _new_discovery(self, fault: Fault) -> None:
         """All sidecars are told; the old one goes on until then, and ends."""
@@ -454,6 +465,8 @@
         for process in self.sidecars:
             process.discovery = new
             process.reload(process.config(self.first_list))
+        self.oracles.told_nothing(True)
+        self.oracles.told_nothing(False)
         self.later(0.3, old.go_down)
 
     def _kill(self, fault: Fault) -> Callable[[], None] | None:
@@ -542,6 +555,7 @@
     Kind.LATE_LISTS: World._late_lists,
     Kind.OLD_LISTS: World._old_lists,
     Kind.DOWN: World._down,
+    Kind.SILENT: World._silent,
     Kind.NEW_DISCOVERY: World._new_discovery,
     Kind.KILL: World._kill,
     Kind.TERM: World._term,
--- a/micadeck/standins/roster.py
+++ b/micadeck/standins/roster.py
@@ -21,6 +21,8 @@
         self._changed_at: dict[str, int] = {}
         self._left: dict[str, dict[str, Any]] = {}
         self._news = asyncio.Event()
+        self._open: set[asyncio.StreamWriter] = set()
+        self._mute: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     async def start(self) -> StandInRoster:
@@ -55,6 +57,12 @@
     def whole(self) -> dict[str, Any]:
         return {"version": self.version, "full": True, "servers": list(self.entries.values())}
 
+    def fall_silent(self, towards: str | None = None) -> int:
+        """Say nothing more on what is open now, from one address or from all; give how many that are."""
+        mute = [each for each in self._open if towards in (None, each.get_extra_info("peername")[0])]
+        self._mute.update(mute)
+        return len(mute)
+
     def _change(self, name: str, entry: dict[str, Any]) -> None:
         self.entries[name] = entry
         self._left.pop(name, None)
@@ -75,15 +83,20 @@
         return {"version": self.version, "full": False, "servers": servers}
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._open.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 self.asked += 1
                 body = json.dumps(await self._answer(head.split(b" ")[1].decode())).encode()
+                if writer in self._mute:
+                    continue
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass  # its end, or the event loop's
         finally:
+            self._open.discard(writer)
+            self._mute.discard(writer)
             writer.close()
 
     async def _answer(self, target: str) -> dict[str, Any]:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -14,6 +14,7 @@
 from micadeck.http.client import ClientConnection, Failure
 from micadeck.http.h1 import Response
 from micadeck.http.upstream import Upstream
+from micadeck.membership import vigil
 
 Mutant = Callable[[], contextlib.AbstractContextManager[Any]]
 
@@ -97,7 +98,17 @@
 
 
 def _ejects_for_good() -> contextlib.AbstractContextManager[Any]:
-    return mock.patch.multiple(balancer, EJECT_AIMS=1e5, EJECT_AIMS_MOST=1e5)
+    """No trial is due, and a start that the list tells brings nobody back either."""
+
+    @contextlib.contextmanager
+    def both() -> Iterator[None]:
+        with (
+            mock.patch.multiple(balancer, EJECT_AIMS=1e5, EJECT_AIMS_MOST=1e5),
+            mock.patch.object(balancer.Balancer, "_readmit", lambda self, server: None),
+        ):
+            yield
+
+    return both()
 
 
 def _favours_cold_servers() -> contextlib.AbstractContextManager[Any]:
@@ -165,6 +176,15 @@
     return mock.patch.object(Upstream, "_close_old", again)
 
 
+def waits_long() -> contextlib.AbstractContextManager[Any]:
+    """Watches whose calls wait for twenty seconds, as they once did; no drawn day lasts that long."""
+
+    def allow(self: Any, allowed_us: int) -> None:
+        self.wait_ms, self.within_s = 20_000, 22.0
+
+    return mock.patch.object(vigil.Vigil, "allow", allow)
+
+
 # Each with the rules, any of which it has to be found by.
 MUTANTS: dict[str, tuple[Mutant, set[str]]] = {
     "a failure is answered twice": (_answers_twice, {"one answer"}),
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -36,7 +36,7 @@
         assert first is not None and first.full and first.version == 1
         await until(lambda: len(server.heard) == 2)
         assert server.heard[0].target == "/catalog/members?after=41&wait_ms=0"
-        assert server.heard[1].target == "/catalog/members?after=1&wait_ms=20000"
+        assert server.heard[1].target == "/catalog/members?after=1&wait_ms=2000"
         server.tell(line("s-1", "127.0.0.2:80", state="leaving"))
         news = await ears.next()
         assert news is not None and not news.full and news.version == 2
--- /dev/null
+++ b/tests/test_vigil.py
@@ -0,0 +1,214 @@
+"""Watches that fall silent, and lists that servers speak against: both noticed in time."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+from itertools import pairwise
+from typing import Any
+
+import pytest
+from helpers import MS, S
+from mutants import waits_long
+
+from micadeck.engine import Listing
+from micadeck.membership.roster import Roster
+from micadeck.membership.vigil import Vigil
+from micadeck.simulation.loop import Host, VirtualLoop
+from micadeck.simulation.network import VirtualNetwork
+from micadeck.simulation.roster import Discovery
+from micadeck.simulation.scenario import Fault, Kind, Scenario
+from micadeck.simulation.wire import Wire
+from micadeck.simulation.world import play
+
+TOLD_S = 6.0  # after a watch fell silent, what it misses counts as told
+MOMENTS = ("before its first answer", "amid a head", "amid a body", "while a call waits", "between two calls")
+
+
+class Agent(Discovery):
+    """A roster whose open connections fall silent once, at one moment of a watch's life."""
+
+    def __init__(self, wire: Wire, moment: str, at_s: float) -> None:
+        super().__init__(wire, 0)
+        self._moment, self._at_s = moment, at_s
+        self.calls: list[tuple[float, str]] = []
+        self.silent_at: float | None = None
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                target = head.split(b" ")[1].decode()
+                self.calls.append((self._wire.loop.time(), target))
+                if self._silences("before its first answer" if len(self.calls) == 1 else "between two calls"):
+                    continue
+                waits = asyncio.ensure_future(self._answer(target))
+                left_s = self._at_s - self._wire.loop.time()
+                if self._moment == "while a call waits" and self.silent_at is None and left_s > 0:
+                    done, _ = await asyncio.wait([waits], timeout=left_s)
+                    if not done and self._silences(self._moment):
+                        waits.cancel()
+                        continue
+                body = json.dumps(await waits, indent=2).encode()  # lists may come indented
+                answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+                for moment, size in (("amid a head", 20), ("amid a body", len(answer) - len(body) // 2)):
+                    if self._silences(moment):
+                        writer.write(answer[:size])
+                        answer = b""
+                        await reader.read()  # to its end
+                writer.write(answer)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    def _silences(self, moment: str) -> bool:
+        now = self._wire.loop.time()
+        is_due = now >= self._at_s or moment == "before its first answer"
+        if moment != self._moment or not is_due or self.silent_at is not None:
+            return False
+        self.silent_at = now
+        return True
+
+
+def watch(
+    moment: str, at_s: float, pushed: bool, then: Callable[[Agent, Roster], None], length_s: float = 14.0
+) -> tuple[Agent, list[tuple[float, Listing]]]:
+    """A roster's client on the virtual clock; a call that failed is made again half a second later."""
+    loop = VirtualLoop(1)  # type: ignore[abstract]
+    wire = Wire(loop, random.Random(2))
+    agent = Agent(wire, moment, at_s)
+    agent.put("s-1", "10.1.0.1:80")
+    host = Host("sidecar")
+    network = VirtualNetwork(wire.machine(host, "10.0.0.1"))
+    heard: list[tuple[float, Listing]] = []
+
+    async def work() -> None:
+        agent.up()
+        roster = Roster(network, agent.place, 0, pushed, allowed_us=10 * S, seed=4)
+
+        def failed() -> None:
+            loop.call_later(0.5, roster.follow, True)
+
+        roster.start(lambda listing: heard.append((loop.time(), listing)), failed)
+        if not pushed:
+            roster.follow(True)
+        then(agent, roster)
+        await asyncio.sleep(length_s)
+        roster.close()
+
+    loop.run_until_complete(loop.create_task(work(), context=host.context.copy()))
+    return agent, heard
+
+
+@pytest.mark.parametrize("pushed", [False, True], ids=["asked", "pushed"])
+@pytest.mark.parametrize("moment", MOMENTS)
+@pytest.mark.parametrize("at_s", [0.5, 1.9, 2.02, 3.3])
+def test_a_watch_that_falls_silent_is_begun_anew_before_its_news_counts_as_told(
+    moment: str, at_s: float, pushed: bool
+) -> None:
+    def then(agent: Agent, roster: Roster) -> None:
+        def look() -> None:
+            # What the silence hides: a server leaves right after it began.
+            if agent.silent_at is None:
+                agent._wire.loop.call_later(0.01, look)
+            else:
+                agent.put("s-1", "10.1.0.1:80", "leaving")
+
+        agent._wire.loop.call_later(0.01, look)
+
+    agent, heard = watch(moment, at_s, pushed, then)
+    assert agent.silent_at is not None
+    told = [at for at, listing in heard for each in listing.entries if each.listed.state.value == "draining"]
+    assert told and told[0] - agent.silent_at < TOLD_S
+    assert len(agent.calls) < 24  # and it asks no more often than its calls wait
+
+
+def test_a_doubt_asks_for_the_whole_list_and_many_doubts_ask_no_more_than_one() -> None:
+    def then(agent: Agent, roster: Roster) -> None:
+        for number in range(300):
+            agent._wire.loop.call_later(0.3 + number / 1e3, roster.doubt)
+
+    agent, _ = watch("never", 0.0, False, then, length_s=1.5)
+    assert [target for _, target in agent.calls if "after" not in target] == ["/catalog/members"]
+    assert len(agent.calls) == 4  # the first, the watch, the whole list, the watch again
+
+
+def test_doubts_that_bring_nothing_are_heeded_less_and_less() -> None:
+    def then(agent: Agent, roster: Roster) -> None:
+        for number in range(1_000):
+            agent._wire.loop.call_later(0.3 + number / 1e2, roster.doubt)
+
+    agent, _ = watch("never", 0.0, False, then, length_s=11.0)
+    whole = [at for at, target in agent.calls if "after" not in target]
+    assert 3 <= len(whole) <= 8
+    apart = [later - at for at, later in pairwise(whole)]
+    assert apart[0] < 1.2 and apart[-1] >= 1.9  # at last no sooner than the watch's own calls
+
+
+def test_a_doubt_begins_nothing_while_discovery_is_down_or_slow() -> None:
+    def then(agent: Agent, roster: Roster) -> None:
+        agent.late_s.append(3.0)
+        for number in range(100):
+            agent._wire.loop.call_later(0.1 + number / 1e2, roster.doubt)
+
+    agent, heard = watch("never", 0.0, False, then, length_s=3.5)
+    assert len(agent.calls) <= 2 and heard  # the first call kept its place, and was answered
+
+
+def test_a_list_that_was_confirmed_since_is_not_doubted() -> None:
+    vigil = Vigil(10 * S, random.Random(1))
+    assert vigil.doubted(100) is not None
+    assert vigil.doubted(200) is None  # one look is planned
+    vigil.confirmed(300, brought_news=False)
+    assert not vigil.is_due(400)
+    due = vigil.doubted(500)
+    assert due is not None and vigil.is_due(due)
+    again = vigil.doubted(due + 1)
+    assert again is not None and again >= due + 500 * MS
+    vigil.moved()
+    assert not vigil.is_due(again)
+
+
+@pytest.mark.parametrize(
+    ("allowed_s", "pushed", "wait_ms", "within_s"),
+    [(10, False, 2_000, 3.0), (10, True, 1_000, 1.5), (60, False, 4_000, 6.0), (0.1, False, 500, 1.0)],
+)
+def test_how_long_a_watch_may_be_silent_follows_from_the_settings(
+    allowed_s: float, pushed: bool, wait_ms: int, within_s: float
+) -> None:
+    vigil = Vigil(int(allowed_s * S), random.Random(1), is_pushed=pushed)
+    assert (vigil.wait_ms, vigil.within_s) == (wait_ms, within_s)
+    vigil.allow(10 * S)
+    assert vigil.wait_ms == (1_000 if pushed else 2_000)
+
+
+def silent_day(sidecars: int, amount: float, **more: Any) -> Scenario:
+    """Watches fall silent, and a third of the servers leave for good, one after another."""
+    silent = [Fault(at_s=2.0, kind=Kind.SILENT, amount=amount)]
+    leave = [Fault(at_s=2.5 + 0.3 * n, kind=Kind.DRAIN, for_s=8.5, target=n) for n in range(10)]
+    return Scenario(
+        seed=5,
+        sidecars=sidecars,
+        servers=30,
+        cells=3,
+        rate=1.0,
+        length_s=7.0,
+        faults=(*silent, *leave),
+        **more,
+    )
+
+
+@pytest.mark.parametrize("amount", [0.0, 1.0], ids=["one watch", "all watches"])
+def test_two_hundred_sidecars_send_nothing_to_who_left_while_watches_were_silent(amount: float) -> None:
+    result = play(silent_day(200, amount))
+    assert [str(each) for each in result.violations] == []
+    assert result.counts["watch fell silent"] == (200 if amount else 1)
+    assert result.counts["answer 200"] == result.counts["requests"] > 2_000
+
+
+def test_a_build_that_waits_long_for_silent_watches_is_found() -> None:
+    with waits_long():
+        assert "lists" in play(silent_day(10, 1.0)).rules
