Take a dial that finds nobody for no attempt, and its server out of the draw

Cause: balancer.py, _attempt_ended took a dial turned down for an attempt and for a retry (`_extra`), though nothing was written, and _eject let no more than 0.6 of the servers in reach be out: 2 of 131 at a small load.

It counts for no attempt and costs no allowance; what guards against storms of dials is that each takes its server out, until a trial or a new process in the list (eight spare dials a request at most). Some stay in the draw where all turn dials down; who is out so takes nothing of the share that may be ejected for sickness, which was seen failing first. Engine: it makes the source doubt its list. Rejected: a larger budget for repeats after dials, and counting them as failures compared with the rest.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -77,6 +77,7 @@
 EJECT_AIMS_MOST = 16.0  # and never lasts longer: a server that came back is found again
 SILENT_MOST = 0.34  # no more than this share is ejected for silence alone: more is overload, not sickness
 EJECTED_MOST = 0.6  # never more than this share of the list is ejected: the rest would drown
+DIALS_SPARE = 8  # dials that found nobody, beside a request's attempts: each of them took its server out
 SHY_AIMS = 0.5  # a class keeps off a server for so many of the longest aim after a full answer
 SHY_AIMS_MOST = 4.0  # and for twice as long at each further one in a row, up to this
 PATIENCE = 2.5  # usual times (at this server's pace) after which an attempt is overdue
@@ -157,6 +158,7 @@
     spoilt: int = 0  # spoilt answers in a row
     ejections: int = 0
     ejected_until: int | None = None  # None: not ejected
+    is_vacant: bool = False  # it is ejected since nobody listened there
     trial: Attempt | None = None  # the single attempt that may bring it back
 
 
@@ -206,6 +208,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     tried: list[Server] = field(default_factory=list)  # servers that failed this request, full ones included
     said_full: int = 0
+    turned_down: int = 0  # of its attempts, those that were none: nobody listened, nothing was written
     answered: bool = False
 
     def is_out(self) -> bool:
@@ -845,7 +848,11 @@
         return may and self._now < server.state_at + self._settings.rules.bound_grace_us
 
     def _has_attempts_left(self, request: Request) -> bool:
-        made = len(request.attempts)
+        """A dial that found nobody was no attempt: nothing was written, so the next may follow at once.
+
+        What guards the fleet against storms of dials is that each takes its server out of the draw.
+        """
+        made = len(request.attempts) - min(request.turned_down, DIALS_SPARE)
         return made < request.most and made < self._settings.limits.max_attempts
 
     def _may_run_again(self, request: Request) -> bool:
@@ -966,12 +973,14 @@
         elif not request.answered:
             request.tried.append(attempt.server)
             if not event.again:
-                request.most = len(request.attempts)
-            full = event.outcome is Outcome.FULL
+                request.most = 0
+            full, turned_down = event.outcome is Outcome.FULL, event.outcome is Outcome.TURNED_DOWN
             request.said_full += full
+            request.turned_down += turned_down
             left = self._has_attempts_left(request) and self._may_run_again(request)
-            if left and (full or self._extra >= 1.0):
-                self._extra -= 0.0 if full else 1.0  # a redraw on full is the design's own, not a retry
+            free = full or turned_down  # a redraw on full is the design's own, not a retry
+            if left and (free or self._extra >= 1.0):
+                self._extra -= 0.0 if free else 1.0
                 self._place(request)
             elif not request.is_out():
                 self._finish(request)
@@ -1111,6 +1120,11 @@
                 self._served_warm.add(self._now, 1.0)
             if server.ejected_until is not None:
                 self._readmit(server)
+        elif outcome is Outcome.TURNED_DOWN:
+            self._eject(server, outcome.value)
+            if server.ejected_until is not None:
+                server.is_vacant = True
+                self._turned_cold(server, self._now)  # who listens there next has just started
         elif outcome is Outcome.SPOILT:
             # Guards against ejecting servers for what comes spoilt from all of them alike.
             server.spoilt += 1
@@ -1157,7 +1171,12 @@
 
     def _eject(self, server: Server, reason: str, most: float = EJECTED_MOST) -> None:
         if server.ejected_until is None:
-            if len(self._ejected) + 1 > most * min(len(self._ready), self._reach()):
+            ready, vacant = len(self._ready), sum(each.is_vacant for each in self._ejected)
+            out, room = len(self._ejected) - vacant, most * min(ready - vacant, self._reach())
+            if reason == Outcome.TURNED_DOWN.value:
+                # Guards against a list of servers that are gone: it is certain, and takes nobody's room.
+                out, room = len(self._ejected), max(most * ready, ready - DRAWN)
+            if out + 1 > room:
                 return
             self._ejected.append(server)
             self._stuck += server.in_flight
@@ -1171,7 +1190,7 @@
         return self._now + int(aims * self._longest_aim * (0.75 + 0.5 * self._random.random()))
 
     def _readmit(self, server: Server) -> None:
-        server.ejected_until = None
+        server.ejected_until, server.is_vacant = None, False
         self._ejected.remove(server)
         self._stuck -= server.in_flight
         server.ejections = 0
--- a/magpiemux/interface.py
+++ b/magpiemux/interface.py
@@ -99,6 +99,7 @@
     FULL = "full"
     EXPIRED = "expired"
     DIAL_FAILED = "dial_failed"
+    TURNED_DOWN = "turned_down"  # nobody listens there, and the dial was told so at once
     DROPPED = "dropped"
     CANCELLED = "cancelled"
     UNSENT = "unsent"
@@ -173,7 +174,7 @@
         """Whether the outcome proves that the server did nothing of the request: the one place to ask."""
         if outcome is Outcome.FULL:
             return not self.full_may_have_run
-        return outcome in (Outcome.DIAL_FAILED, Outcome.UNSENT)
+        return outcome in (Outcome.DIAL_FAILED, Outcome.TURNED_DOWN, Outcome.UNSENT)
 
 
 @dataclass(frozen=True, slots=True)
--- a/micadeck/engine/engine.py
+++ b/micadeck/engine/engine.py
@@ -301,6 +301,8 @@
         held.out -= 1
         held.last_outcome = outcome
         held.may_have_run = held.may_have_run or not self._settings.rules.never_ran(outcome)
+        if outcome is Outcome.TURNED_DOWN:
+            self._source.doubt()
         if outcome is Outcome.DELIVERED:
             waiter = self._settle(request)
             if waiter is not None:
--- a/micadeck/http/upstream.py
+++ b/micadeck/http/upstream.py
@@ -233,7 +233,9 @@
                     server.address,
                 )
         except (OSError, TimeoutError) as fault:
-            if isinstance(fault, OSError) and fault.errno in _OWN_FAULTS:
+            if isinstance(fault, ConnectionRefusedError):
+                outcome = Outcome.TURNED_DOWN
+            elif isinstance(fault, OSError) and fault.errno in _OWN_FAULTS:
                 outcome = Outcome.UNSENT
         finally:
             self._dialling -= 1
--- a/micadeck/incidents/causes.py
+++ b/micadeck/incidents/causes.py
@@ -178,7 +178,7 @@
 
 def _sickness(body: _Harm, name: str) -> str:
     counts = body.outcomes[name]
-    quick = counts[Outcome.DIAL_FAILED.value] + counts[Outcome.DROPPED.value]
+    quick = sum(counts[each.value] for each in (Outcome.DIAL_FAILED, Outcome.TURNED_DOWN, Outcome.DROPPED))
     errors = counts[Outcome.ERROR.value] + counts[Outcome.SPOILT.value]
     silent = counts[Outcome.EXPIRED.value] + counts[Outcome.CANCELLED.value]
     if max(quick, errors, silent) == silent:
--- a/micadeck/mysql/carrier.py
+++ b/micadeck/mysql/carrier.py
@@ -363,7 +363,9 @@
             if fault.error is not None and fault.error.code in FULL_AT_LOGIN:
                 outcome = Outcome.FULL
         except (OSError, TimeoutError) as fault:
-            if isinstance(fault, OSError) and fault.errno in _OWN_FAULTS:
+            if isinstance(fault, ConnectionRefusedError):
+                outcome = Outcome.TURNED_DOWN
+            elif isinstance(fault, OSError) and fault.errno in _OWN_FAULTS:
                 outcome = Outcome.UNSENT
         except asyncio.CancelledError:
             self.pool.failed(name)
