Know the other sidecars: SWIM with Lifeguard, sealed datagrams, views that settle

The platform gives datagrams of 256 bytes between sidecars and no store. Rejected: a central store (down when it matters), Raft among a few (nothing here needs one order), heartbeats of all to all (n^2), HyParView (a partial view has no count). docs/design/fleet.md weighs them.

micadeck/fleet: claims, view with digests, gossip, seal (keyed BLAKE2b, two keys, numbers that count once) and one member are without I/O; host.py is the sockets. Off by default, not loaded on the platform (a test looks); the key `fleet` names its file.

Found by several real processes behind a relay, not by the virtual stage: a member that joins never learnt where the one that answered it is reached, since what lies between hid the address; a member now says so itself, ahead of other news. On the virtual stage: halves of a cut never met again (nobody asks the dead), eight members at 30% loss had a false death in ten minutes, facts went out six times too often. Each has its test.

Open: docs/design/fleet.md, Open.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup test lint check demo bench bench-consul bench-mysql bench-bodies bench-upgrade bench-fleet bench-incidents simulate
+.PHONY: setup test lint check demo bench bench-consul bench-mysql bench-bodies bench-upgrade bench-fleet bench-incidents bench-view simulate
 
 setup: $(BIN)/ruff
 
@@ -48,6 +48,10 @@
 bench-fleet: setup
 	$(BIN)/python benchmarks/fleet.py
 
+# Two minutes: how soon the fleet's view settles, on a virtual clock; what it prints stands in docs/design/fleet.md.
+bench-view: setup
+	$(BIN)/python benchmarks/fleet_view.py
+
 # Four minutes on eight cores: scripted days against the story that their records tell; docs/design/incidents.md.
 bench-incidents: setup
 	$(BIN)/python benchmarks/incidents.py
--- a/micadeck/config.py
+++ b/micadeck/config.py
@@ -18,6 +18,7 @@
 from micadeck.network import Address, parse_address
 
 if TYPE_CHECKING:
+    from micadeck.fleet.config import FleetConfig
     from micadeck.membership.consul.config import ConsulConfig
     from micadeck.mysql.config import MysqlConfig
 
@@ -48,6 +49,7 @@
     peers_all: Address | None
     consul: ConsulConfig | None = None
     mysql: MysqlConfig | None = None
+    fleet: FleetConfig | None = None  # the other sidecars; None: they are not known
     operator: Address | None = None  # where staff call; None: there is no door
     trace: str = ""  # a file to record the decisions' events to
     records: str = ""  # a folder to record what happens in, for `micadeck incident`
@@ -114,6 +116,7 @@
         peers_all=_optional_address("peers_all", given.get("peers_all")),
         consul=_of_file("consul", given.get("consul"), "micadeck.membership.consul.config"),
         mysql=_of_file("mysql", given.get("mysql"), "micadeck.mysql.config"),
+        fleet=_of_file("fleet", given.get("fleet"), "micadeck.fleet.config"),
         operator=_optional_address("operator", given.get("operator")),
         trace=_written("trace", "file", "traces", given.get("trace")).replace("%p", str(os.getpid())),
         records=_written("records", "folder", "records", given.get("records")),
--- a/micadeck/engine/engine.py
+++ b/micadeck/engine/engine.py
@@ -100,6 +100,7 @@
         self._decisions = Balancer(settings, seed)
         self._balancer = self._decisions  # or what hears in its place
         self.account = Account()
+        self.on_listed: Callable[[Listing], None] | None = None  # hears each list, beside the decisions
         self.has_list = False  # whether a list was heard since the start
         self._events: deque[Event] = deque()
         self._is_handling = False
@@ -285,6 +286,8 @@
     def _listed(self, listing: Listing) -> None:
         self.has_list = True
         self._carrier.listed(listing)
+        if self.on_listed is not None:
+            self.on_listed(listing)
         self._post(listing.event())
 
     def _attempt_ended(
--- /dev/null
+++ b/micadeck/fleet/__init__.py
@@ -0,0 +1,27 @@
+"""The other sidecars as one sidecar sees them: who is there, who is slow, who is gone, and how sure that is.
+
+SWIM (Das 2002) with Lifeguard (Dadgar 2018); nothing in this package does input or output.  What rests on the
+number of members asks `Fleet.count`, which is an interval, and `Fleet.settled`.
+"""
+
+from micadeck.fleet.claims import Claim, Facts, State
+from micadeck.fleet.core import Changed, Fleet, Output, Rumoured
+from micadeck.fleet.seal import Dropped, Keys, Seal
+from micadeck.fleet.settings import FleetSettings
+from micadeck.fleet.view import Count, View
+
+__all__ = [
+    "Changed",
+    "Claim",
+    "Count",
+    "Dropped",
+    "Facts",
+    "Fleet",
+    "FleetSettings",
+    "Keys",
+    "Output",
+    "Rumoured",
+    "Seal",
+    "State",
+    "View",
+]
--- /dev/null
+++ b/micadeck/fleet/core.py
@@ -0,0 +1,643 @@
+"""One member of the fleet: what it sends and concludes when time passes and datagrams come.
+
+Each period one other member is asked (in a shuffled round, so that everybody's turn comes).  If it does not
+answer in time, helpers ask it too; if nothing comes by the end of the period it is suspected, and unless it
+refutes that, dead.  What is news rides on these datagrams, and digests do: two members whose views stay apart
+find the difference by branches, so that a view settles even if every piece of news was lost.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import IntEnum, unique
+from itertools import islice
+from typing import Any
+
+import msgspec
+
+from micadeck.fleet.claims import Claim, Facts, State
+from micadeck.fleet.gossip import Gossip
+from micadeck.fleet.seal import Keys, Seal
+from micadeck.fleet.settings import FleetSettings
+from micadeck.fleet.view import LEVELS, Count, View
+from micadeck.network import Address
+
+_SYNC_MOST = 16  # datagrams in a period that compare views; what is over waits for the next
+_SMALL_BRANCH = 6  # members: a branch with so few is told whole
+_APART_PERIODS = 2  # for so long two views may differ before they are compared: the news is on its way
+_HEARD_PERIODS = 6  # whom an answer came from in these counts as heard
+_HEARD_FROM = 4  # so many have to hold the same view for it to be settled
+_FACTS_APART_US = 5_000_000  # the least between two changes of facts that are told
+_FACTS_APART_EACH_US = 20_000  # and for each member: what all tell together stays bounded
+_LOOK_TOO = 6  # members, of all, that ask a suspect next
+_LOST_MOST = 3  # more in a period, while some of them come back
+_LOST_PERIODS = 4  # in each so many, one is asked that is called dead
+_MISSED_STEP = 0.05  # of the last twenty questions or so
+_MISSED_USUAL = 0.1  # a member that died leaves as many unanswered
+_LEAVE_TO = 6  # members that are told by the one that leaves
+_NEWS_FOR_US = 60_000_000  # a piece of news is passed on no longer
+_MOST_NEWS = 64  # pieces in a datagram; more is nonsense
+_MOST_RUMOURS = 2_000
+
+
+@unique
+class _Kind(IntEnum):
+    PING = 0  # [number, digest, news]
+    ACK = 1  # [number, digest, news]
+    ASK = 2  # [number, name, host, port, digest, news]: ping this member for me
+    NONE = 3  # [number, digest, news]: it did not answer me either
+    BRANCHES = 4  # [path, digests, digest]
+    LEAF = 5  # [path, is_answer, claims]
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """Another claim holds on a member from now on."""
+
+    claim: Claim
+
+
+@dataclass(frozen=True, slots=True)
+class Rumoured:
+    """A member was told this of a server: a reason to be cautious there, never to trust it."""
+
+    server: str
+    word: str
+    version: int
+
+
+@dataclass(slots=True)
+class Output:
+    """What to send, in order, and what is new."""
+
+    datagrams: list[tuple[Address, bytes]] = field(default_factory=list)
+    events: list[Changed | Rumoured] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class _Probe:
+    """The question of one period."""
+
+    number: int
+    claim: Claim
+    asked: int = 0  # helpers
+    said_none: int = 0  # of these
+    answered: bool = False
+    missed: bool = False  # whether it did not answer by itself in time
+
+
+class Fleet:
+    """One member.  `now` is any clock that never steps back, `wall` Unix time; both in microseconds."""
+
+    def __init__(
+        self,
+        name: str,
+        start: int,
+        address: Address,
+        keys: Keys,
+        seed: int,
+        settings: FleetSettings,
+        now: int,
+    ) -> None:
+        self.name = name
+        self.view = View(name)
+        self.seal = Seal(name, start, keys)
+        self.settings = settings
+        self.slow = 0  # how slow this member takes itself to be, from 0
+        self.is_superseded = False  # a later process has its name: this one says nothing more
+        self._now = now
+        self._wall = 0
+        self._chance = random.Random(seed)
+        self._out = Output()
+        self._me = Claim(name, start, 0, State.ALIVE, *address, Facts())
+        self._gossip = Gossip()
+        self._known: list[Address] = []  # where somebody may be, until somebody was heard
+        self._round: list[str] = []
+        self._probe: _Probe | None = None
+        self._numbers = 0
+        self._for_others: dict[int, tuple[Address, int, int]] = {}  # asked as a helper: whom to tell, by when
+        self._agenda: list[tuple[int, int, str, Any]] = []
+        self._order = 0
+        self._accusers: dict[str, set[str]] = {}
+        self._digests: dict[str, tuple[int, int]] = {}  # what others hold: digest, and when they said so
+        self._apart_since: dict[str, int] = {}
+        self._sync_left = _SYNC_MOST
+        self._rumours: dict[str, tuple[int, str]] = {}
+        self._facts_told_at = now - _FACTS_APART_US
+        self._facts_due = False
+        self._is_leaving = False
+        self._hold(self._me)
+        self._schedule(self._chance.randrange(settings.period_us), "period")
+
+    # What its host calls
+
+    @property
+    def due(self) -> int:
+        """When `tick` is to be called next."""
+        return self._agenda[0][0]
+
+    def join(self, addresses: Iterable[Address]) -> None:
+        """Somebody may be at these addresses; any one of them is enough."""
+        self._known = [each for each in addresses if each != (self._me.host, self._me.port)]
+
+    def tick(self, now: int, wall: int) -> Output:
+        """Do what is due."""
+        self._begin(now, wall)
+        while self._agenda and self._agenda[0][0] <= now:
+            due, _, what, about = heapq.heappop(self._agenda)
+            if what == "period":
+                self._period(now - due)
+            elif what == "unanswered":
+                self._unanswered(about)
+            elif what == "none":
+                self._none(about)
+            else:
+                self._suspicion_ends(*about)
+        return self._end()
+
+    def heard(self, now: int, wall: int, source: Address, data: bytes) -> Output:
+        """A datagram came."""
+        self._begin(now, wall)
+        read = self.seal.read(wall, data)
+        if read is not None and read[0] != self.name and not self.is_superseded:
+            sender, start, kind, body = read
+            try:
+                self._take(sender, start, source, _Kind(kind), body)
+            except (ValueError, TypeError, KeyError, IndexError, msgspec.ValidationError):
+                self.malformed += 1
+        return self._end()
+
+    malformed = 0  # messages with a good MAC that can't be read: a member of another make
+
+    def tell(self, now: int, facts: Facts) -> None:
+        """Tell these facts of itself from now on; they go out a few seconds apart at most."""
+        if facts == self._me.facts:
+            return
+        self._me = msgspec.structs.replace(self._me, facts=facts)
+        self._facts_due = True
+        self._now = now
+        self._tell_facts_if_due()
+
+    @property
+    def facts(self) -> Facts:
+        """What it tells of itself."""
+        return self._me.facts or Facts()
+
+    def rumour(self, now: int, server: str, word: str, version: int) -> None:
+        """Pass on what this member was told of a server: that it drains, is gone, or started."""
+        self._now = now
+        if len(server) <= 80:  # else it fits no datagram
+            self._pass_on(server, word, version)
+
+    def leave(self, now: int, wall: int) -> Output:
+        """Say that this member leaves; nothing is said after it."""
+        self._begin(now, wall)
+        self._is_leaving = True
+        gone = msgspec.structs.replace(self._me, state=State.LEFT, facts=None)
+        others = self._others()
+        for name in self._chance.sample(others, min(_LEAVE_TO, len(others))):
+            self._send(self._place(name), _Kind.PING, [0, self.view.digest], [gone])
+        self.is_superseded = True
+        return self._end()
+
+    @property
+    def settled(self) -> bool:
+        """Whether those that were heard last, since the view last changed, hold the same one."""
+        wanted = min(_HEARD_FROM, self.view.there - 1)
+        last = list(islice(reversed(self._digests.values()), wanted))
+        return len(last) == wanted and all(
+            digest == self.view.digest and at > self.view.changed_at and self._is_lately(at)
+            for digest, at in last
+        )
+
+    def count(self) -> Count:
+        """How many members there are, by what this one knows.
+
+        Settled, the fleet has agreed, and only suspects are in doubt.  Else nothing is certain but whom this
+        member heard itself, and whoever was called dead lately may live on the other side of a cut.
+        """
+        members = self.view.members.values()
+        alive = sum(each.claim.state is State.ALIVE for each in members)
+        dead = sum(each.claim.state is State.DEAD for each in members)
+        if self.settled:
+            return Count(alive, self.view.there)
+        heard = sum(
+            each.claim.is_there and each.heard_at is not None and self._is_lately(each.heard_at)
+            for each in members
+        )
+        return Count(heard + 1, self.view.there + dead)
+
+    def _is_lately(self, at: int) -> bool:
+        return self._now - at <= _HEARD_PERIODS * self.settings.period_us * (1 + self.slow)
+
+    # Time
+
+    def _begin(self, now: int, wall: int) -> None:
+        self._now, self._wall, self._out = max(now, self._now), wall, Output()
+
+    def _end(self) -> Output:
+        out, self._out = self._out, Output()
+        return out
+
+    def _schedule(self, wait_us: int, what: str, about: Any = None) -> None:
+        self._order += 1
+        heapq.heappush(self._agenda, (self._now + wait_us, self._order, what, about))
+
+    def _period(self, late_us: int) -> None:
+        period = self.settings.period_us
+        if late_us > period:
+            self._woke()
+        self._judge_probe()
+        self._schedule(period * (1 + self.slow), "period")
+        if self.is_superseded:
+            return
+        self._sync_left = _SYNC_MOST
+        self._tell_facts_if_due()
+        for name in self.view.forget(self._now, self.settings.forget_us, self.settings.remember_us):
+            for each in (self._digests, self._apart_since):
+                each.pop(name, None)
+        target = self._next()
+        if target is not None:
+            self._ask(target)
+        self._periods += 1
+        looks = min(self._found, _LOST_MOST) + (target is None or self._periods % _LOST_PERIODS == 0)
+        self._found = 0
+        for _ in range(looks):
+            self._look_for_lost()
+
+    _periods = 0
+    _found = 0  # of the dead, who came back in this period: a cut has healed, and there are more
+
+    def _look_for_lost(self) -> None:
+        """Ask one that is called dead, or an address where somebody was to be: a cut may have healed.
+
+        It hears first of all what is said of it, so that it can refute.
+        """
+        dead = [name for name, held in self.view.members.items() if held.claim.state is State.DEAD]
+        places = [(self._place(name), name) for name in dead]
+        there = {self._place(name) for name in self._others()}
+        places += [
+            (each, "") for each in self._known if each not in there and all(each != p for p, _ in places)
+        ]
+        if places:
+            place, name = self._chance.choice(places)
+            self._send(place, _Kind.PING, [0, self.view.digest], self._to_tell(name))
+
+    def _woke(self) -> None:
+        """This process stood still: what it missed says nothing of the others.
+
+        Guards against a member that was stopped, and calls everybody dead when it goes on.
+        """
+        self.slow = self.settings.slow_most
+        self._probe = None
+        self._digests.clear()
+        ours = [each for each in self._agenda if each[2] == "suspicion"]
+        self._agenda = [each for each in self._agenda if each[2] == "period"]
+        heapq.heapify(self._agenda)
+        for *_, about in ours:
+            self._suspect_until(*about)
+
+    # Asking
+
+    def _others(self) -> list[str]:
+        return [name for name, held in self.view.members.items() if name != self.name and held.claim.is_there]
+
+    def _place(self, name: str) -> Address:
+        claim = self.view.members[name].claim
+        return claim.host, claim.port
+
+    def _next(self) -> Claim | None:
+        while True:
+            if not self._round:
+                self._round = self._others()
+                self._chance.shuffle(self._round)
+                if not self._round:
+                    return None
+            claim = self.view.get(self._round.pop())
+            if claim is not None and claim.is_there:
+                return claim
+
+    def _ask(self, target: Claim) -> None:
+        self._numbers += 1
+        self._probe = _Probe(self._numbers, target)
+        place, about = (target.host, target.port), self._to_tell(target.name)
+        self._send(place, _Kind.PING, [self._numbers, self.view.digest], about)
+        self._schedule(self.settings.answer_within_us * (1 + self.slow), "unanswered", self._numbers)
+
+    def _unanswered(self, number: int) -> None:
+        probe = self._probe
+        if probe is None or probe.number != number or probe.answered:
+            return
+        probe.missed = True
+        others = [each for each in self._others() if each != probe.claim.name]
+        for name in self._chance.sample(others, min(self.settings.helpers, len(others))):
+            probe.asked += 1
+            body = [number, probe.claim.name, probe.claim.host, probe.claim.port, self.view.digest]
+            self._send(self._place(name), _Kind.ASK, body)
+
+    def _judge_probe(self) -> None:
+        probe, self._probe = self._probe, None
+        if probe is None:
+            return
+        if probe.claim.state is State.ALIVE:
+            self._missed += _MISSED_STEP * (probe.missed - self._missed)
+        if probe.answered:
+            self.slow = max(self.slow - 1, 0)
+            return
+        # Helpers that say that they got nothing either show that this member's own link works.
+        self.slow = min(self.slow + 1 + max(probe.asked - probe.said_none - 1, 0), self.settings.slow_most)
+        if probe.said_none:
+            self.slow = max(self.slow - 1, 0)
+        claim = self.view.get(probe.claim.name)
+        if claim is not None and claim.is_there and claim.start == probe.claim.start:
+            if claim.incarnation == probe.claim.incarnation:
+                self._claim(
+                    msgspec.structs.replace(
+                        claim, state=State.SUSPECT, facts=None, host="", port=0, by=self.name
+                    )
+                )
+
+    _missed = 0.0  # part of the questions that were not answered by themselves
+
+    def _suspicion_us(self, name: str) -> int:
+        """How long a suspicion lasts: where much is lost on the way, a refutation takes several tries."""
+        confirmed = max(len(self._accusers.get(name, ())) - 1, 0)
+        plain = self.settings.suspicion_us(self.view.there, confirmed)
+        return int(plain * (1.0 + self.settings.suspicion_lossy * max(self._missed - _MISSED_USUAL, 0.0)))
+
+    def _suspect_until(self, name: str, start: int, incarnation: int) -> None:
+        self._schedule(self._suspicion_us(name), "suspicion", (name, start, incarnation))
+
+    def _suspicion_ends(self, name: str, start: int, incarnation: int) -> None:
+        held = self.view.members.get(name)
+        if held is None or held.claim.rank != (start, incarnation, State.SUSPECT):
+            return
+        wait_us = self._suspicion_us(name)
+        if self._now - held.since < wait_us:
+            self._schedule(held.since + wait_us - self._now, "suspicion", (name, start, incarnation))
+            return
+        dead = msgspec.structs.replace(held.claim, state=State.DEAD, facts=None, host="", port=0, by="")
+        self._claim(dead)
+
+    # Hearing
+
+    def _take(self, sender: str, start: int, source: Address, kind: _Kind, body: list[Any]) -> None:
+        self._heard_from(sender, start)
+        match kind:
+            case _Kind.PING:
+                number, digest, news = body
+                self._take_news(news)
+                # It says itself where it is reached: what lies between may hide that.
+                if sender in self.view.members:
+                    source = self._place(sender)
+                self._compare(sender, source, digest)
+                self._send(source, _Kind.ACK, [number, self.view.digest], self._to_tell(sender))
+            case _Kind.ACK:
+                number, digest, news = body
+                self._take_news(news)
+                self._answered(number)
+                if sender in self.view.members:
+                    source = self._place(sender)
+                self._compare(sender, source, digest)
+            case _Kind.ASK:
+                number, name, host, port, digest, news = body
+                self._take_news(news)
+                if sender in self.view.members:
+                    source = self._place(sender)
+                self._compare(sender, source, digest)
+                self._numbers += 1
+                self._for_others[self._numbers] = (source, number, self._now)
+                self._send((host, port), _Kind.PING, [self._numbers, self.view.digest], self._to_tell(name))
+                self._schedule(self.settings.answer_within_us, "none", self._numbers)
+            case _Kind.NONE:
+                number, digest, news = body
+                self._take_news(news)
+                if self._probe is not None and self._probe.number == number:
+                    self._probe.said_none += 1
+            case _Kind.BRANCHES:
+                path, theirs, _ = body
+                if sender in self.view.members:
+                    source = self._place(sender)
+                self._look_into(source, tuple(path), theirs)
+            case _Kind.LEAF:
+                path, is_answer, claims = body
+                if sender in self.view.members:
+                    source = self._place(sender)
+                self._take_leaf(source, tuple(path), bool(is_answer), claims)
+
+    def _heard_from(self, sender: str, start: int) -> None:
+        held = self.view.members.get(sender)
+        if held is not None and held.claim.start == start:
+            held.heard_at = self._now
+
+    def _to_tell(self, name: str) -> list[Claim]:
+        """What goes ahead of other news to this member.
+
+        That it is suspected, or dead, so that it can refute; and who this one is, unless it is seen to know.
+        """
+        about: list[Claim] = []
+        claim = self.view.get(name)
+        if claim is not None and claim.state is not State.ALIVE:
+            about.append(claim)
+        known = self._digests.get(name)
+        if known is None or known[0] != self.view.digest:
+            about.append(self._me)
+        return about
+
+    def _answered(self, number: int) -> None:
+        probe = self._probe
+        if probe is not None and probe.number == number:
+            probe.answered = self._is_established = True
+        for_other = self._for_others.pop(number, None)
+        if for_other is not None:
+            place, their_number, _ = for_other
+            self._send(place, _Kind.ACK, [their_number, self.view.digest])
+
+    def _none(self, number: int) -> None:
+        """A helper's question was not answered: that is told, so that the asker knows that it was heard."""
+        for_other = self._for_others.pop(number, None)
+        if for_other is not None and not self.is_superseded:
+            place, their_number, _ = for_other
+            self._send(place, _Kind.NONE, [their_number, self.view.digest])
+
+    # News
+
+    def _take_news(self, news: list[Any]) -> None:
+        for piece in news[:_MOST_NEWS]:
+            if piece[0] == "":
+                _, server, word, version = piece
+                self._rumour_heard(str(server), str(word), int(version))
+            else:
+                self._claim_heard(msgspec.convert(piece, Claim))
+
+    def _claim_heard(self, claim: Claim) -> None:
+        if claim.name == self.name:
+            self._about_me(claim)
+        elif claim.name and (claim.host or claim.name in self.view.members or not claim.is_there):
+            self._claim(claim)
+
+    def _about_me(self, claim: Claim) -> None:
+        if claim.start > self._me.start:
+            if self._is_established:
+                self.is_superseded = True  # a later process has taken over
+                return
+            # Nobody answers the earlier start: a clock was set back, and this is the later process.
+            self._me = msgspec.structs.replace(self._me, start=claim.start + 1, incarnation=0)
+            self.seal.start = self._me.start
+            self._hold(self._me)
+        elif claim.start == self._me.start and claim.state is not State.ALIVE and not self._is_leaving:
+            if claim.incarnation >= self._me.incarnation:
+                self._me = msgspec.structs.replace(self._me, incarnation=claim.incarnation + 1)
+                self.slow = min(self.slow + 1, self.settings.slow_most)
+                self._hold(self._me)
+
+    def _claim(self, claim: Claim) -> None:
+        """Hold a claim, and pass it on, if it is news."""
+        before = self.view.get(claim.name)
+        if claim.state is State.SUSPECT and before is not None and before.rank == claim.rank:
+            self._confirm(claim)
+            return
+        if not self.view.take(self._now, claim):
+            return
+        held = self.view.members[claim.name].claim
+        self._accusers.pop(claim.name, None)
+        if held.state is State.SUSPECT:
+            self._accusers[claim.name] = {claim.by}
+            if self._chance.random() * self.view.there < _LOOK_TOO:
+                # Several look at once, so that it is soon refuted or soon confirmed.
+                self._round.append(held.name)
+            self._suspect_until(held.name, held.start, held.incarnation)
+        self._gossip.put(claim.name, claim, self._now + _NEWS_FOR_US)
+        if before is not None and not before.is_there and held.is_there:
+            self._found += 1
+        if before is None or (before.start, before.state) != (held.start, held.state):
+            self._out.events.append(Changed(held))
+        if before is None and held.is_there:
+            self._round.insert(self._chance.randrange(len(self._round) + 1), held.name)
+
+    def _confirm(self, claim: Claim) -> None:
+        """Another member suspects it too: the suspicion is believed sooner, and that is news, up to a few."""
+        accusers = self._accusers.setdefault(claim.name, set())
+        if not claim.by or claim.by in accusers or len(accusers) > self.settings.helpers:
+            return
+        accusers.add(claim.by)
+        self._gossip.put(claim.name, claim, self._now + _NEWS_FOR_US)
+        held = self.view.members[claim.name]
+        left_us = max(held.since + self._suspicion_us(claim.name) - self._now, 0)
+        self._schedule(left_us, "suspicion", (claim.name, claim.start, claim.incarnation))
+
+    def _hold(self, claim: Claim) -> None:
+        self.view.take(self._now, claim)
+        self._gossip.put(claim.name, claim, self._now + _NEWS_FOR_US)
+
+    def _tell_facts_if_due(self) -> None:
+        apart = max(_FACTS_APART_US, _FACTS_APART_EACH_US * self.view.there)
+        if not self._facts_due or self._now - self._facts_told_at < apart:
+            return
+        self._facts_due, self._facts_told_at = False, self._now
+        self._me = msgspec.structs.replace(self._me, incarnation=self._me.incarnation + 1)
+        self._hold(self._me)
+
+    def _rumour_heard(self, server: str, word: str, version: int) -> None:
+        before = self._rumours.get(server)
+        if before is None or version > before[0]:
+            self._pass_on(server, word, version)
+            self._out.events.append(Rumoured(server, word, version))
+
+    def _pass_on(self, server: str, word: str, version: int) -> None:
+        self._rumours.pop(server, None)
+        self._rumours[server] = (version, word)
+        while len(self._rumours) > _MOST_RUMOURS:
+            del self._rumours[next(iter(self._rumours))]
+        until = self._now + self.settings.rumours_us
+        self._gossip.put(f"\0{server}", ["", server, word, version], until)
+
+    # Views that differ
+
+    def _compare(self, sender: str, source: Address, digest: int) -> None:
+        self._digests.pop(sender, None)
+        self._digests[sender] = (digest, self._now)
+        while len(self._digests) > 4 * _HEARD_FROM * _HEARD_PERIODS:
+            del self._digests[next(iter(self._digests))]
+        if digest == self.view.digest:
+            self._apart_since.pop(sender, None)
+            self._apart = 0
+            return
+        self._apart += 1
+        if self._apart > _APART_PERIODS:
+            self._send_branches(source, ())
+
+    _is_established = False  # whether anybody answered a question of this process
+    _apart = 0  # answers in a row that told of another view
+
+    def _send_branches(self, source: Address, path: tuple[int, ...]) -> None:
+        if self._sync_left > 0:
+            self._sync_left -= 1
+            body = [list(path), self.view.branches(path), self.view.digest]
+            self._out.datagrams.append((source, self.seal.make(self._wall, _Kind.BRANCHES, body)))
+
+    def _look_into(self, source: Address, path: tuple[int, ...], theirs: list[int]) -> None:
+        if len(path) >= LEVELS:
+            raise ValueError("too deep")
+        ours = self.view.branches(path)
+        differ = [at for at, (one, other) in enumerate(zip(ours, theirs, strict=True)) if one != other]
+        self._chance.shuffle(differ)
+        for at in differ:
+            below = (*path, at)
+            if len(below) == LEVELS or sum(1 for _ in self.view.under(below)) <= _SMALL_BRANCH:
+                self._send_leaf(source, below, False)
+            else:
+                self._send_branches(source, below)
+
+    def _send_leaf(self, source: Address, path: tuple[int, ...], is_answer: bool) -> None:
+        claims = [msgspec.msgpack.encode(_brief(each)) for each in self.view.under(path)]
+        room = self.seal.room() - 24
+        while self._sync_left > 0:
+            self._sync_left -= 1
+            fit: list[msgspec.Raw] = []
+            left = room
+            while claims and len(claims[-1]) <= left:
+                left -= len(claims[-1])
+                fit.append(msgspec.Raw(claims.pop()))
+            body = [list(path), is_answer, fit]
+            self._out.datagrams.append((source, self.seal.make(self._wall, _Kind.LEAF, body)))
+            if not claims or not fit:
+                return
+
+    def _take_leaf(self, source: Address, path: tuple[int, ...], is_answer: bool, claims: list[Any]) -> None:
+        if len(path) > LEVELS:
+            raise ValueError("too deep")
+        before = self.view.digest
+        theirs = {claim.name: claim for claim in (msgspec.convert(each, Claim) for each in claims)}
+        for claim in theirs.values():
+            self._claim_heard(claim)
+        if is_answer:
+            return
+        # What they lack, or hold too lightly.
+        if any(each.over(theirs.get(each.name)) for each in self.view.under(path)) or before == 0:
+            self._send_leaf(source, path, True)
+
+    # Sending
+
+    def _send(self, to: Address, kind: _Kind, body: list[Any], about: Iterable[Claim] = ()) -> None:
+        """Send a message with news: first these claims, then as much as fits."""
+        if self.is_superseded:
+            return
+        room = self.seal.room() - len(msgspec.msgpack.encode(body)) - 4
+        news: list[msgspec.Raw] = []
+        names = {each.name for each in about}
+        for claim in about:
+            piece = msgspec.msgpack.encode(claim)
+            if len(piece) <= room:
+                room -= len(piece)
+                news.append(msgspec.Raw(piece))
+        times = self.settings.times_passed_on(self.view.there)
+        news += self._gossip.pick(self._now, room, times, names)
+        self._out.datagrams.append((to, self.seal.make(self._wall, kind, [*body, news])))
+
+
+def _brief(claim: Claim) -> Claim:
+    return msgspec.structs.replace(claim, facts=None, by="")
--- /dev/null
+++ b/micadeck/fleet/gossip.py
@@ -0,0 +1,58 @@
+"""What is still to be passed on: the news told least often first, as many as fit a datagram."""
+
+from __future__ import annotations
+
+from collections.abc import Container
+
+import msgspec
+
+_MOST_WAITING = 4_000
+
+
+class Gossip:
+    """Pieces of news by subject; a newer piece on a subject replaces the older."""
+
+    def __init__(self) -> None:
+        self._told: dict[str, int] = {}  # how often each was
+        self._pieces: dict[str, bytes] = {}
+        self._until: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._pieces)
+
+    def put(self, subject: str, piece: object, until: int) -> None:
+        """Pass this on from now on, until that time."""
+        self._told[subject] = 0
+        self._pieces[subject] = msgspec.msgpack.encode(piece)
+        self._until[subject] = until
+        if len(self._pieces) > _MOST_WAITING:
+            self.drop(max(self._told, key=lambda each: self._told[each]))
+
+    def drop(self, subject: str) -> None:
+        self._told.pop(subject, None)
+        self._pieces.pop(subject, None)
+        self._until.pop(subject, None)
+
+    def pick(self, now: int, room: int, times: int, but: Container[str] = ()) -> list[msgspec.Raw]:
+        """Pieces for one datagram of so much room; each leaves once it was told so many times.
+
+        `but`: subjects that are told there already.
+        """
+        picked: list[msgspec.Raw] = []
+        for subject in sorted(self._told, key=self._told.__getitem__):
+            if subject in but:
+                continue
+            piece = self._pieces[subject]
+            if now >= self._until[subject]:
+                self.drop(subject)
+                continue
+            if len(piece) > room:
+                continue
+            room -= len(piece)
+            picked.append(msgspec.Raw(piece))
+            self._told[subject] += 1
+            if self._told[subject] >= times:
+                self.drop(subject)
+            if room < 24:
+                break
+        return picked
--- /dev/null
+++ b/micadeck/fleet/host.py
@@ -0,0 +1,121 @@
+"""A member on the sidecars' datagrams: sockets and timers for `Fleet`, and what follows for the sidecar."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from magpiemux.interface import ServerState
+from micadeck.engine import Listing
+from micadeck.fleet.claims import Facts, State
+from micadeck.fleet.config import FleetConfig, check_name
+from micadeck.fleet.core import Changed, Fleet, Output, Rumoured
+from micadeck.network import Address, Network, Timer
+from micadeck.peers import Peers
+
+_GONE = {ServerState.DRAINING: "draining", ServerState.GONE: "gone"}
+_WORDS = {State.ALIVE: "is there", State.DEAD: "is taken for dead", State.LEFT: "has left"}
+_MOST_RUMOURS = 64  # of one list: a list that is all news says nothing of single servers
+
+
+class FleetHost:
+    """One sidecar's membership, from its start to its end."""
+
+    def __init__(
+        self,
+        network: Network,
+        peers: Peers,
+        config: FleetConfig,
+        name: str,
+        listen: Address,
+        others: tuple[Address, ...],
+        seed: int,
+        log: Callable[[str], None],
+        doubt: Callable[[], None],
+    ) -> None:
+        check_name(name)
+        self._network = network
+        self._peers = peers
+        self._log = log
+        self._doubt = doubt
+        self._timer: Timer | None = None
+        self._said = ""
+        self._gone: set[str] = set()  # servers of which the list said so
+        place = config.advertise or listen
+        self.fleet = Fleet(name, network.now(), place, config.keys, seed, config.settings, self._now())
+        self.fleet.tell(self._now(), Facts(config.region))
+        self.fleet.join(others)
+        peers.hear_raw(self._heard)
+
+    def start(self) -> None:
+        self._arm()
+
+    def reload(self, config: FleetConfig) -> None:
+        """Use other keys, and tell another region; the rest waits for a restart."""
+        self.fleet.seal.change(config.keys)
+        facts = self.fleet.facts
+        self.fleet.tell(self._now(), Facts(config.region, facts.per_s, facts.list_version))
+
+    def listed(self, listing: Listing) -> None:
+        """What this sidecar is told of servers is news for those whose discovery is silent."""
+        now = self._now()
+        facts = self.fleet.facts
+        self.fleet.tell(now, Facts(facts.region, facts.per_s, listing.version))
+        if listing.full or len(listing.entries) > _MOST_RUMOURS:
+            return
+        for entry in listing.entries:
+            name, word = entry.listed.server, _GONE.get(entry.listed.state)
+            if word is not None:
+                self._gone.add(name)
+                self.fleet.rumour(now, name, word, listing.version)
+            else:
+                self._gone.discard(name)
+
+    def close(self) -> None:
+        """Leave the fleet in good order."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._carry_out(self.fleet.leave(self._now(), self._network.wall()))
+
+    def _now(self) -> int:
+        return int(self._network.time() * 1e6)
+
+    def _heard(self, source: Address, data: bytes) -> None:
+        self._carry_out(self.fleet.heard(self._now(), self._network.wall(), source, data))
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._carry_out(self.fleet.tick(self._now(), self._network.wall()))
+        self._arm()
+
+    def _arm(self) -> None:
+        self._timer = self._network.call_later(max(self.fleet.due - self._now(), 0) / 1e6, self._tick)
+
+    def _carry_out(self, output: Output) -> None:
+        for place, data in output.datagrams:
+            self._peers.send_raw(place, data)
+        for event in output.events:
+            match event:
+                case Changed(claim) if claim.state in _WORDS:
+                    self._log(f"fleet: {claim.name} {_WORDS[claim.state]}")
+                case Rumoured(server, _, _) if server not in self._gone:
+                    # Word from a peer only makes cautious: discovery is asked what became of the server.
+                    self._doubt()
+                case _:
+                    pass
+        self._say()
+
+    def _say(self) -> None:
+        """Tell operators how the view stands, when that changes."""
+        fleet = self.fleet
+        count = fleet.count()
+        if fleet.is_superseded:
+            said = "a later process has this name: it is the member"
+        elif fleet.settled:
+            said = f"{count.most} members, settled"
+        elif count.least < count.most:
+            said = f"from {count.least} to {count.most} members"
+        else:
+            return
+        if said != self._said and (fleet.settled or fleet.is_superseded or "settled" in self._said):
+            self._said = said
+            self._log(f"fleet: {said}")
--- a/micadeck/peers.py
+++ b/micadeck/peers.py
@@ -22,6 +22,16 @@
         self._me = me
         self._on_message: Callable[[int, bytes], None] = _ignore
         self._transport: asyncio.DatagramTransport | None = None
+        self._on_raw: Callable[[Address, bytes], None] | None = None
+
+    def hear_raw(self, on_raw: Callable[[Address, bytes], None]) -> None:
+        """Give all that comes to this in place of `on_message`: it knows by itself who is a member."""
+        self._on_raw = on_raw
+
+    def send_raw(self, to: Address, payload: bytes) -> None:
+        """Send to an address; it may be lost, also here."""
+        if self._transport is not None:
+            self._transport.sendto(payload, to)
 
     def rename(self, peers: tuple[Address, ...], everyone: Address | None) -> None:
         """Reach the tier's sidecars at these addresses from now on."""
@@ -59,6 +69,9 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        if self._on_raw is not None:
+            self._on_raw((addr[0], addr[1]), data)
+            return
         number = self._numbers.get((addr[0], addr[1]))
         if number is None or number == self._me or len(data) > MOST_BYTES:
             return  # not from a sidecar of the tier
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from magpiemux import Balancer, Settings
+    from micadeck.fleet.host import FleetHost
     from micadeck.incidents.recording import Recording
     from micadeck.membership.sources import Sources
     from micadeck.mysql.service import MysqlService
@@ -90,6 +91,7 @@
         assert source is not None  # the configuration has one of them
         self.peers = Peers(network, config.peers, config.peers_all, settings.me)
         self.engine = make_engine(settings, config.seed, network, self.upstream, source, self.peers, log)
+        self.fleet = self._with_fleet(config, source.doubt)
         self.recorder = self._recorded(config) if config.trace else None
         self.recording = self._with_records(config) if config.records else None
         self._divide_descriptors()
@@ -114,6 +116,20 @@
             self._log(f"trace: no recording: {fault}")
         return recorders[0] if recorders else None
 
+    def _with_fleet(self, config: Config, doubt: Callable[[], None]) -> FleetHost | None:
+        """A member of the fleet; without the wish for it, nothing of it is loaded."""
+        if config.fleet is None or config.peer_listen is None:
+            return None
+        from micadeck.fleet.host import FleetHost
+
+        listen, me = config.peer_listen, config.settings.me
+        others = tuple(each for number, each in enumerate(config.peers) if number != me)
+        fleet = FleetHost(
+            self.network, self.peers, config.fleet, config.name, listen, others, config.seed, self._log, doubt
+        )
+        self.engine.on_listed = fleet.listed
+        return fleet
+
     def _with_records(self, config: Config) -> Recording | None:
         """Record what happens, for whoever looks into an incident; else nothing of it is loaded."""
         from micadeck.incidents.recording import Recording
@@ -145,6 +161,8 @@
         config = self.config
         if config.settings.limits.may_message and config.peer_listen is not None:
             await self.peers.listen(config.peer_listen, self.engine.heard)
+            if self.fleet is not None:
+                self.fleet.start()
         self.engine.start(config.known)
 
     def retune(self, settings: Settings) -> None:
@@ -171,7 +189,7 @@
         # Whether there is a roster, and whether Consul, is settled at the start.
         kept += [
             key
-            for key in ("discovery", "consul", "mysql")
+            for key in ("discovery", "consul", "mysql", "fleet")
             if (getattr(config, key) is None) != (getattr(before, key) is None)
         ]
         if self.roster is not None and config.discovery not in (None, before.discovery):
@@ -179,6 +197,8 @@
         if self.sources is not None and config.consul not in (None, before.consul):
             self.sources.reload(config.consul)
         self.peers.rename(config.peers, config.peers_all)
+        if self.fleet is not None and config.fleet is not None:
+            self.fleet.reload(config.fleet)
         in_force = {key: getattr(before.settings, key) for key in _SETTINGS_AT_START}
         kept += [
             f"settings.{key}" for key, value in in_force.items() if getattr(config.settings, key) != value
@@ -404,6 +424,8 @@
             self._beside.leave()
         if self.door is not None:
             self.door.close()
+        if self._core.fleet is not None:
+            self._core.fleet.close()
         self._engine.close()
         if self._core.recorder is not None:
             self._core.recorder.close()
--- /dev/null
+++ b/tests/fleet_stage.py
@@ -0,0 +1,157 @@
+"""A fleet on one virtual clock: datagrams late, lost, doubled or cut; members killed, stopped, restarted."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable
+from functools import partial
+
+from micadeck.fleet import Changed, Fleet, FleetSettings, Keys, Output, State
+from micadeck.network import Address
+
+S = 1_000_000
+MS = 1_000
+KEYS = Keys(((1, b"a key of sixteen bytes or more"),))
+WALL = 1_800_000_000 * S
+
+
+class FleetStage:
+    """Plays members; `members` are the ones that run."""
+
+    def __init__(
+        self, count: int, seed: int = 1, settings: FleetSettings | None = None, loss: float = 0.0
+    ) -> None:
+        self.now = 0
+        self.chance = random.Random(seed)
+        self.settings = settings or FleetSettings()
+        self.loss = loss
+        self.doubled = 0.0
+        self.delay_us = (500, 20_000)
+        self.cut: Callable[[str, str], bool] = lambda source, target: False
+        self.members: dict[str, Fleet] = {}
+        self.stopped: dict[str, list[tuple[Address, bytes]]] = {}
+        self.changes: list[tuple[int, str, Changed]] = []
+        self.events: list[tuple[int, str, object]] = []
+        self.sent: Counter[str] = Counter()
+        self.bytes = 0
+        self._queue: list[tuple[int, int, Callable[[], object]]] = []
+        self._order = 0
+        self._ticking: dict[str, int] = {}
+        names = [f"n{number}" for number in range(count)]
+        for name in names:
+            self.start(name, names[:1] if name != names[0] else names[1:2])
+
+    @staticmethod
+    def address(name: str) -> Address:
+        number = int(name[1:])
+        return f"10.0.{number // 250}.{number % 250 + 1}", 9100
+
+    def start(self, name: str, known: Iterable[str], keys: Keys = KEYS, ahead_us: int = 0) -> Fleet:
+        member = Fleet(
+            name, WALL + self.now + ahead_us, self.address(name), keys,
+            self.chance.getrandbits(32), self.settings, self.now,
+        )  # fmt: skip
+        member.join([self.address(each) for each in known])
+        self.members[name] = member
+        self._tick_at(name, member)
+        return member
+
+    def kill(self, name: str) -> None:
+        del self.members[name]
+
+    def leave(self, name: str) -> None:
+        """As SIGTERM: it says so, and ends."""
+        self.play(name, self.members[name].leave(self.now, WALL + self.now))
+        self.kill(name)
+
+    def stop(self, name: str) -> None:
+        """As SIGSTOP: what comes waits in its socket."""
+        self.stopped[name] = []
+
+    def go_on(self, name: str) -> None:
+        waiting = self.stopped.pop(name)
+        member = self.members[name]
+        for source, data in waiting:
+            self.play(name, member.heard(self.now, WALL + self.now, source, data))
+        self._push(self.now, lambda: self._tick(name, member))
+
+    def run(self, span_us: int) -> None:
+        until = self.now + span_us
+        while self._queue and self._queue[0][0] <= until:
+            self.now, _, call = heapq.heappop(self._queue)
+            call()
+        self.now = until
+
+    def _tick(self, name: str, member: Fleet) -> None:
+        self._ticking.pop(name, None)
+        if self.members.get(name) is member and name not in self.stopped:
+            if self.now >= member.due:
+                self.play(name, member.tick(self.now, WALL + self.now))
+            self._tick_at(name, member)
+
+    def _arrive(self, name: str, source: Address, data: bytes) -> None:
+        if name in self.stopped:
+            self.stopped[name].append((source, data))
+        elif name in self.members:
+            member = self.members[name]
+            self.play(name, member.heard(self.now, WALL + self.now, source, data))
+            self._tick_at(name, member)
+
+    def later(self, wait_us: int, call: Callable[[], object]) -> None:
+        self._push(self.now + wait_us, call)
+
+    def until(self, done: Callable[[], bool], within_us: int, look_us: int = 50 * MS) -> int:
+        """Run until it holds; say how long that took."""
+        began = self.now
+        while not done():
+            assert self.now - began < within_us, "it never came to hold"
+            self.run(look_us)
+        return self.now - began
+
+    def play(self, name: str, output: Output) -> None:
+        for event in output.events:
+            self.events.append((self.now, name, event))
+            if isinstance(event, Changed):
+                self.changes.append((self.now, name, event))
+        for to, data in output.datagrams:
+            assert len(data) <= 256
+            self.sent[name] += 1
+            self.bytes += len(data)
+            target = self._name(to)
+            if self.cut(name, target) or self.chance.random() < self.loss:
+                continue
+            for _ in range(1 + (self.chance.random() < self.doubled)):
+                wait = self.chance.randint(*self.delay_us)
+                self._push(self.now + wait, partial(self._arrive, target, self.address(name), data))
+
+    @staticmethod
+    def _name(address: Address) -> str:
+        _, _, high, low = address[0].split(".")
+        return f"n{int(high) * 250 + int(low) - 1}"
+
+    def _tick_at(self, name: str, member: Fleet) -> None:
+        due = max(member.due, self.now)
+        known = self._ticking.get(name)
+        if known is None or known < self.now or due < known:
+            self._ticking[name] = due
+            self._push(due, lambda: self._tick(name, member))
+
+    def _push(self, at: int, call: Callable[[], object]) -> None:
+        self._order += 1
+        heapq.heappush(self._queue, (at, self._order, call))
+
+    # What is asked of it
+
+    def agree(self, names: Iterable[str] | None = None) -> bool:
+        """Whether these members hold one view: just themselves."""
+        wanted = set(names or self.members)
+        return all(
+            {name for name, held in self.members[each].view.members.items() if held.claim.is_there} == wanted
+            and self.members[each].settled
+            for each in wanted
+        )
+
+    def said_dead(self) -> list[tuple[int, str, str]]:
+        return [(at, by, each.claim.name) for at, by, each in self.changes if each.claim.state is State.DEAD]
--- /dev/null
+++ b/tests/processes/test_fleet_processes.py
@@ -0,0 +1,122 @@
+"""The fleet's view among several real processes, with faults between them."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+from several import ROOT, Daemons
+
+Make = Callable[..., Daemons]
+
+
+@pytest.fixture
+def make(tmp_path: Path) -> Iterator[Make]:
+    made: list[Daemons] = []
+
+    def one(*given: object, **how: object) -> Daemons:
+        made.append(Daemons(tmp_path, *given, **how))  # type: ignore[arg-type]
+        return made[-1]
+
+    yield one
+    for each in made:
+        each.close()
+
+
+def test_all_join_through_one_and_one_that_is_killed_is_missed_and_back_under_its_name(make: Make) -> None:
+    daemons = make(4, known=lambda number: [0, 1] if number < 2 else [0])
+    daemons.until_settled(4)
+    daemons.mark()
+    daemons.kill(2)
+    daemons.until_settled(3)
+    assert any("n2 is taken for dead" in each for each in daemons.said(0))
+    daemons.mark()
+    daemons.start(2)
+    daemons.until_settled(4)
+    assert not any("dead" in each for number in range(4) for each in daemons.said(number))
+
+
+def test_one_that_gets_sigterm_has_left_and_is_called_dead_by_nobody(make: Make) -> None:
+    daemons = make(3)
+    daemons.until_settled(3)
+    daemons.mark()
+    daemons.signal(1, signal.SIGTERM)
+    assert daemons.running.pop(1).wait(10) == 0
+    daemons.until_settled(2)
+    for number in (0, 2):
+        assert "n1 has left" in daemons.said(number)
+        assert not any("dead" in each for each in daemons.said(number))
+
+
+def test_each_half_of_a_cut_goes_on_and_on_healing_all_four_agree(make: Make) -> None:
+    daemons = make(4)
+    daemons.until_settled(4)
+    daemons.mark()
+    daemons.relay.cut(0, 1)
+    daemons.until_settled(2)
+    daemons.mark()
+    daemons.relay.heal()
+    daemons.until_settled(4)
+
+
+def test_a_member_that_was_stopped_calls_nobody_dead_when_it_goes_on(make: Make) -> None:
+    daemons = make(4)
+    daemons.until_settled(4)
+    daemons.mark()
+    daemons.signal(3, signal.SIGSTOP)
+    time.sleep(2.0)  # that is how long it stands still
+    daemons.signal(3, signal.SIGCONT)
+    time.sleep(1.0)
+    if any(daemons.said(each) for each in range(3)):
+        daemons.until_settled(4, 0, 1, 2)
+    assert not any("dead" in each for each in daemons.said(3))
+
+
+def test_a_fleet_settles_while_three_in_ten_datagrams_are_lost(make: Make) -> None:
+    daemons = make(4)
+    daemons.relay.lossy(0.3, seed=5)
+    daemons.until_settled(4)
+
+
+def test_keys_change_under_way_and_who_has_another_key_is_nobody(make: Make) -> None:
+    daemons = make(3)
+    daemons.until_settled(3)
+    daemons.kill(2)
+    daemons.keys(7, of=2)
+    daemons.until_settled(2)
+    daemons.start(2)
+    for numbers in ((1, 2), (2, 1), (2,)):
+        daemons.keys(*numbers, of=0)
+        daemons.keys(*numbers, of=1)
+        for number in (0, 1):
+            daemons.signal(number, signal.SIGHUP)
+        time.sleep(0.7)
+    daemons.mark()
+    daemons.keys(2, of=2)
+    daemons.signal(2, signal.SIGHUP)
+    daemons.until_settled(3)
+    assert "02" * 32 not in "".join(daemons.log(number).read_text() for number in range(3))
+
+
+def test_what_was_recorded_and_is_sent_again_changes_nothing(make: Make) -> None:
+    daemons = make(3)
+    daemons.until_settled(3)
+    old = list(daemons.relay.kept)
+    daemons.kill(2)
+    daemons.until_settled(2)
+    daemons.mark()
+    for target, data in old * 3:
+        daemons.relay.send(target, data)
+    time.sleep(1.0)
+    assert not any("n2" in each for number in (0, 1) for each in daemons.said(number))
+
+
+def test_without_the_key_nothing_of_the_fleet_is_loaded() -> None:
+    probe = "import sys, micadeck.__main__; print([each for each in sys.modules if 'micadeck.fleet' in each])"
+    told = subprocess.run([sys.executable, "-c", probe], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert told.stdout.strip() == "[]"
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -15,11 +15,11 @@
 
 # From the ground up: a module imports from its own layer and those before it, of the package's own.
 LAYERS = [
-    ("micadeck.network", "micadeck.keys"),
+    ("micadeck.network", "micadeck.keys", "micadeck.errors"),
     ("micadeck.engine",),
     ("micadeck.operations",),
     ("micadeck.http",),
-    ("micadeck.membership", "micadeck.peers"),
+    ("micadeck.membership", "micadeck.peers", "micadeck.fleet"),
     ("micadeck.mysql",),
     ("micadeck.traces", "micadeck.incidents"),
     ("micadeck.config",),
