--- a/micadeck/fleet/core.py
+++ b/micadeck/fleet/core.py
@@ -483,7 +483,7 @@
             if claim.incarnation >= self._me.incarnation:
                 self._me = msgspec.structs.replace(self._me, incarnation=claim.incarnation + 1)
                 self.slow = min(self.slow + 1, self.settings.slow_most)
-                self._hold(self._me)
+                self._hold(self._me, urgent=True)
 
     def _claim(self, claim: Claim) -> None:
         """Hold a claim, and pass it on, if it is news."""
@@ -501,7 +501,8 @@
                 # Several look at once, so that it is soon refuted or soon confirmed.
                 self._round.append(held.name)
             self._suspect_until(held.name, held.start, held.incarnation)
-        self._gossip.put(claim.name, claim, self._now + _NEWS_FOR_US)
+        urgent = held.state is not State.ALIVE or (before is not None and before.state is not State.ALIVE)
+        self._gossip.put(claim.name, claim, self._now + _NEWS_FOR_US, urgent=urgent)
         if before is not None and not before.is_there and held.is_there:
             self._found += 1
         if before is None or (before.start, before.state) != (held.start, held.state):
@@ -515,14 +516,14 @@
         if not claim.by or claim.by in accusers or len(accusers) > self.settings.helpers:
             return
         accusers.add(claim.by)
-        self._gossip.put(claim.name, claim, self._now + _NEWS_FOR_US)
+        self._gossip.put(claim.name, claim, self._now + _NEWS_FOR_US, urgent=True)
         held = self.view.members[claim.name]
         left_us = max(held.since + self._suspicion_us(claim.name) - self._now, 0)
         self._schedule(left_us, "suspicion", (claim.name, claim.start, claim.incarnation))
 
-    def _hold(self, claim: Claim) -> None:
+    def _hold(self, claim: Claim, *, urgent: bool = False) -> None:
         self.view.take(self._now, claim)
-        self._gossip.put(claim.name, claim, self._now + _NEWS_FOR_US)
+        self._gossip.put(claim.name, claim, self._now + _NEWS_FOR_US, urgent=urgent)
 
     def _tell_facts_if_due(self) -> None:
         apart = max(_FACTS_APART_US, _FACTS_APART_EACH_US * self.view.there)
@@ -544,7 +545,7 @@
         while len(self._rumours) > _MOST_RUMOURS:
             del self._rumours[next(iter(self._rumours))]
         until = self._now + self.settings.rumours_us
-        self._gossip.put(f"\0{server}", ["", server, word, version], until)
+        self._gossip.put(f"\0{server}", ["", server, word, version], until, urgent=True)
 
     # Views that differ
 
--- a/micadeck/fleet/gossip.py
+++ b/micadeck/fleet/gossip.py
@@ -1,4 +1,4 @@
-"""What is still to be passed on: the news told least often first, as many as fit a datagram."""
+"""What is still to be passed on: the urgent first, then what was told least, as much as fits a datagram."""
 
 from __future__ import annotations
 
@@ -16,13 +16,18 @@
         self._told: dict[str, int] = {}  # how often each was
         self._pieces: dict[str, bytes] = {}
         self._until: dict[str, int] = {}
+        self._later: dict[str, bool] = {}  # what gives way to urgent news
 
     def __len__(self) -> int:
         return len(self._pieces)
 
-    def put(self, subject: str, piece: object, until: int) -> None:
-        """Pass this on from now on, until that time."""
+    def put(self, subject: str, piece: object, until: int, *, urgent: bool = False) -> None:
+        """Pass this on from now on, until that time; urgent news goes ahead of the other.
+
+        Guards against a death that waits behind two hundred births.
+        """
         self._told[subject] = 0
+        self._later[subject] = not urgent
         self._pieces[subject] = msgspec.msgpack.encode(piece)
         self._until[subject] = until
         if len(self._pieces) > _MOST_WAITING:
@@ -32,6 +37,7 @@
         self._told.pop(subject, None)
         self._pieces.pop(subject, None)
         self._until.pop(subject, None)
+        self._later.pop(subject, None)
 
     def pick(self, now: int, room: int, times: int, but: Container[str] = ()) -> list[msgspec.Raw]:
         """Pieces for one datagram of so much room; each leaves once it was told so many times.
@@ -39,7 +45,7 @@
         `but`: subjects that are told there already.
         """
         picked: list[msgspec.Raw] = []
-        for subject in sorted(self._told, key=self._told.__getitem__):
+        for subject in sorted(self._told, key=lambda each: (self._later[each], self._told[each])):
             if subject in but:
                 continue
             piece = self._pieces[subject]
--- a/micadeck/simulation/scenario.py
+++ b/micadeck/simulation/scenario.py
@@ -71,6 +71,7 @@
     reconnects: bool = False  # whether clients whose time is up leave, and come on a new connection
     call_us: float = 0.0  # CPU time of a sidecar for each callback; 0: none
     descriptors: int = 200  # of a sidecar
+    pushed: bool = False  # whether the roster is an agent beside each sidecar that pushes its lists
     consul: bool = False  # whether servers are learnt from Consul in place of the roster
     ahead_ms: float = 0.0  # how far the second sidecar's clock stands ahead
     faults: tuple[Fault, ...] = ()
--- a/micadeck/simulation/world.py
+++ b/micadeck/simulation/world.py
@@ -93,7 +93,7 @@
                 "zone": "a",
                 "me": self.number,
                 "quantumUs": 5_000,
-                "discovery": "on_request",
+                "discovery": "pushed" if self.world.scenario.pushed else "on_request",
                 "report": {"columns": ["util", "inflight"], "source": "piggyback"},
                 "bounds": {
                     "sendCap": sends,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -79,6 +79,15 @@
     assert [msgspec.msgpack.decode(each)[0] for each in gossip.pick(10, 50, 9, {"c"})] == ["a"]
 
 
+def test_news_of_a_death_goes_ahead_of_a_flood_of_births() -> None:
+    gossip = Gossip()
+    for number in range(200):
+        gossip.put(f"n{number}", [f"n{number}", "x" * 20], until=100)
+    gossip.put("dead", ["dead", "x" * 20], until=100, urgent=True)
+    told = [[msgspec.msgpack.decode(each)[0] for each in gossip.pick(0, 90, 5)] for _ in range(6)]
+    assert [each[0] for each in told] == ["dead"] * 5 + [told[5][0]] and told[5][0] != "dead"
+
+
 # Datagrams
 
 
--- a/tests/test_vigil.py
+++ b/tests/test_vigil.py
@@ -201,9 +201,15 @@
     )
 
 
-@pytest.mark.parametrize("amount", [0.0, 1.0], ids=["one watch", "all watches"])
-def test_two_hundred_sidecars_send_nothing_to_who_left_while_watches_were_silent(amount: float) -> None:
-    result = play(silent_day(200, amount))
+@pytest.mark.parametrize(
+    ("amount", "pushed"),
+    [(0.0, False), (1.0, False), (1.0, True)],
+    ids=["one watch", "all watches", "pushed"],
+)
+def test_two_hundred_sidecars_send_nothing_to_who_left_while_watches_were_silent(
+    amount: float, pushed: bool
+) -> None:
+    result = play(silent_day(200, amount, pushed=pushed))
     assert [str(each) for each in result.violations] == []
     assert result.counts["watch fell silent"] == (200 if amount else 1)
     assert result.counts["answer 200"] == result.counts["requests"] > 2_000
