--- /dev/null
+++ b/tests/test_doubts.py
@@ -0,0 +1,81 @@
+"""What makes the roster asked anew: an end that Consul tells, a fetch that is ahead of the watch."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+from loopback import ScriptedDiscovery, line, play, until
+
+from micadeck.engine import Listing
+from micadeck.membership.consul import Ask, Heard, Names
+from micadeck.membership.consul.config import ConsulConfig, Service
+from micadeck.membership.consul.view import News
+from micadeck.membership.merge import Caution, Sighting, Trust
+from micadeck.membership.roster import Roster
+from micadeck.membership.sources import Sources
+from micadeck.network import LoopNetwork, parse_address
+
+HERE = ("127.0.0.2", 80)
+
+
+class Asked(Roster):
+    """Counts doubts in place of asking."""
+
+    doubts = 0
+
+    def doubt(self) -> None:
+        self.doubts += 1
+
+
+@pytest.mark.parametrize(
+    ("sightings", "gone", "doubts"),
+    [
+        ([], [], 0),
+        ([Sighting(HERE, Caution.READY)], [], 0),
+        ([Sighting(HERE, Caution.DRAINS)], [], 1),
+        ([], [HERE], 1),
+    ],
+)
+def test_an_end_that_consul_tells_makes_the_roster_asked(
+    sightings: list[Sighting], gone: list[Any], doubts: int
+) -> None:
+    async def work() -> None:
+        network, nobody = LoopNetwork(), parse_address("127.0.0.1:9")
+        roster = Asked(network, nobody, 1, False)
+        services = (Service("tariff", Ask(), Names(), Trust()),)
+        config = ConsulConfig((nobody,), services, 1.0, 0.0)
+        known = Listing(1, True, ())
+        sources = Sources(network, roster, known, config, 1, "n", lambda text: None, greets=False)
+        addresses = {each.address for each in sightings}
+        news = News(False, len(sightings), iter(sightings), gone, addresses, ())
+        await sources._consul_heard("tariff", Heard(news, 0.0, "agent"))
+        assert roster.doubts == doubts
+        sources.close()
+
+    play(work)
+
+
+def test_a_fetch_that_is_ahead_of_the_watch_makes_the_watch_doubted() -> None:
+    async def work() -> None:
+        server = ScriptedDiscovery()
+        server.servers = [line("s-1", "127.0.0.2:80")]
+        await server.start()
+        roster = Asked(LoopNetwork(), parse_address(server.address), 0, False)
+        heard: list[Listing] = []
+        roster.start(heard.append, lambda: None)
+        roster.follow(True)
+        await until(lambda: len(server.heard) == 2)  # the watch waits for news, and is told none
+        roster.fetch()
+        await until(lambda: len(heard) == 2)
+        assert roster.doubts == 0  # both say the same
+        server.version += 3
+        roster.fetch()
+        await until(lambda: len(heard) == 3)
+        assert roster.doubts == 1
+        roster.close()
+        server.stop()
+        await asyncio.sleep(0)
+
+    play(work)
