--- a/micadeck/config.py
+++ b/micadeck/config.py
@@ -102,6 +102,9 @@
     peers = given.get("peers") or []
     if not isinstance(peers, list):
         raise ConfigError("peers: a list of addresses is needed")
+    fleet = _of_file("fleet", given.get("fleet"), "micadeck.fleet.config")
+    if fleet is not None:
+        _check_member(given, settings)
     return Config(
         name=_text(given, "name"),
         listen=_address("listen", given.get("listen")),
@@ -116,7 +119,7 @@
         peers_all=_optional_address("peers_all", given.get("peers_all")),
         consul=_of_file("consul", given.get("consul"), "micadeck.membership.consul.config"),
         mysql=_of_file("mysql", given.get("mysql"), "micadeck.mysql.config"),
-        fleet=_of_file("fleet", given.get("fleet"), "micadeck.fleet.config"),
+        fleet=fleet,
         operator=_optional_address("operator", given.get("operator")),
         trace=_written("trace", "file", "traces", given.get("trace")).replace("%p", str(os.getpid())),
         records=_written("records", "folder", "records", given.get("records")),
@@ -125,6 +128,20 @@
     )
 
 
+def _check_member(given: Mapping[str, Any], settings: Settings) -> None:
+    """What a member of the fleet can't do without; each would else fail later, or without a word."""
+    from micadeck.fleet.config import check_name
+
+    try:
+        check_name(_text(given, "name"))
+    except ValueError as nonsense:
+        raise ConfigError(f"name: with fleet, {nonsense}") from None
+    if not given.get("peer_listen"):
+        raise ConfigError("peer_listen: with fleet, an address is needed")
+    if not settings.limits.may_message:
+        raise ConfigError("settings.bounds.mayTell: with fleet, true is needed")
+
+
 _LASTING = ("name", "listen", "discovery", "seed", "limits", "settings", "operator")
 _OF_SOME_CLASSES = ("group", "memorySpanUs")  # of those that are keyed
 
--- a/micadeck/fleet/__init__.py
+++ b/micadeck/fleet/__init__.py
@@ -5,7 +5,8 @@
 """
 
 from micadeck.fleet.claims import Claim, Facts, State
-from micadeck.fleet.core import Changed, Fleet, Output, Rumoured
+from micadeck.fleet.core import Changed, Fleet, Output
+from micadeck.fleet.messages import Rumour
 from micadeck.fleet.seal import Dropped, Keys, Seal
 from micadeck.fleet.settings import FleetSettings
 from micadeck.fleet.view import Count, View
@@ -20,7 +21,7 @@
     "FleetSettings",
     "Keys",
     "Output",
-    "Rumoured",
+    "Rumour",
     "Seal",
     "State",
     "View",
--- a/micadeck/fleet/claims.py
+++ b/micadeck/fleet/claims.py
@@ -8,9 +8,16 @@
 from __future__ import annotations
 
 from enum import IntEnum, unique
+from typing import Annotated
 
 import msgspec
 
+MOST_NAME = 40  # bytes: a datagram holds the sender's, and claims on others
+Name = Annotated[str, msgspec.Meta(pattern=rf"^[!-~]{{1,{MOST_NAME}}}$")]
+Host = Annotated[str, msgspec.Meta(pattern=r"^[0-9A-Fa-f.:]{0,45}$")]
+Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
+Whole = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
 
 @unique
 class State(IntEnum):
@@ -25,28 +32,32 @@
 class Facts(msgspec.Struct, frozen=True, array_like=True):
     """What a member tells of itself."""
 
-    region: str = ""
-    per_s: int = 0  # requests, lately
-    list_version: int = 0  # of the list of servers that it holds
+    region: Annotated[str, msgspec.Meta(max_length=32)] = ""
+    per_s: Whole = 0  # requests, lately
+    list_version: Whole = 0  # of the list of servers that it holds
 
 
-class Claim(msgspec.Struct, frozen=True, array_like=True):
+class Claim(msgspec.Struct, frozen=True, array_like=True, tag=0):
     """That a member is in a state."""
 
-    name: str
-    start: int  # microseconds of Unix time at which its process began
-    incarnation: int
+    name: Name
+    start: Whole  # microseconds of Unix time at which its process began
+    incarnation: Annotated[int, msgspec.Meta(ge=0, le=2**53)]
     state: State
-    host: str = ""  # where it is reached; told with facts, by itself
-    port: int = 0
+    host: Host = ""  # where it is reached; told with facts, by itself
+    port: Port = 0
     facts: Facts | None = None  # only while it is alive; None: passed on without them
-    by: str = ""  # of a suspicion: who has it
+    by: Name | None = None  # of a suspicion: who has it
 
     @property
     def rank(self) -> tuple[int, int, int]:
         """What decides between two claims on one member."""
         return self.start, self.incarnation, int(self.state)
 
+    def said(self, state: State, by: str | None = None) -> Claim:
+        """What another member says of it: nothing of where it is reached, nor its facts."""
+        return msgspec.structs.replace(self, state=state, host="", port=0, facts=None, by=by)
+
     def over(self, other: Claim | None) -> bool:
         """Whether it holds over another claim on the same member."""
         return other is None or self.rank > other.rank
--- a/micadeck/fleet/config.py
+++ b/micadeck/fleet/config.py
@@ -8,12 +8,11 @@
 import msgspec
 
 from micadeck.errors import MicadeckError
+from micadeck.fleet.claims import MOST_NAME, Name
 from micadeck.fleet.seal import Keys
 from micadeck.fleet.settings import FleetSettings
 from micadeck.network import Address, parse_address
 
-_MOST_NAME = 40  # bytes: a datagram holds it, and claims on others
-
 
 class FleetConfigError(MicadeckError, ValueError):
     """The fleet's file can't be used."""
@@ -72,6 +71,8 @@
 
 
 def check_name(name: str) -> None:
-    """Raise FleetConfigError if a member can't have this name."""
-    if len(name.encode()) > _MOST_NAME:
-        raise FleetConfigError(f"name: a member's has at most {_MOST_NAME} bytes.")
+    """Raise ValueError if a member can't have this name."""
+    try:
+        msgspec.convert(name, Name)
+    except msgspec.ValidationError:
+        raise ValueError(f"a member's has 1 to {MOST_NAME} characters of ASCII without blanks") from None
--- a/micadeck/fleet/core.py
+++ b/micadeck/fleet/core.py
@@ -2,34 +2,44 @@
 
 Each period one other member is asked (in a shuffled round, so that everybody's turn comes).  If it does not
 answer in time, helpers ask it too; if nothing comes by the end of the period it is suspected, and unless it
-refutes that, dead.  What is news rides on these datagrams, and digests do: two members whose views stay apart
-find the difference by branches, so that a view settles even if every piece of news was lost.
+refutes that, dead.  What is news rides on these datagrams, and so do digests, by which views are compared.
 """
 
 from __future__ import annotations
 
 import heapq
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
-from enum import IntEnum, unique
 from itertools import islice
 from typing import Any
 
 import msgspec
 
 from micadeck.fleet.claims import Claim, Facts, State
+from micadeck.fleet.compare import Comparison
 from micadeck.fleet.gossip import Gossip
+from micadeck.fleet.messages import (
+    Ack,
+    Ask,
+    Branches,
+    Leaf,
+    Message,
+    News,
+    Ping,
+    Rumour,
+    Silent,
+    WithNews,
+    size,
+)
 from micadeck.fleet.seal import Keys, Seal
 from micadeck.fleet.settings import FleetSettings
-from micadeck.fleet.view import LEVELS, Count, View
+from micadeck.fleet.view import Count, View
 from micadeck.network import Address
 
-_SYNC_MOST = 16  # datagrams in a period that compare views; what is over waits for the next
-_SMALL_BRANCH = 6  # members: a branch with so few is told whole
-_APART_PERIODS = 2  # for so long two views may differ before they are compared: the news is on its way
 _HEARD_PERIODS = 6  # whom an answer came from in these counts as heard
 _HEARD_FROM = 4  # so many have to hold the same view for it to be settled
+_MOST_DIGESTS = 96  # of others, the last to be heard
 _FACTS_APART_US = 5_000_000  # the least between two changes of facts that are told
 _FACTS_APART_EACH_US = 20_000  # and for each member: what all tell together stays bounded
 _LOOK_TOO = 6  # members, of all, that ask a suspect next
@@ -40,20 +50,9 @@
 _MISSED_USUAL = 0.1  # a member that died leaves as many unanswered
 _LEAVE_TO = 6  # members that are told by the one that leaves
 _NEWS_FOR_US = 60_000_000  # a piece of news is passed on no longer
-_MOST_NEWS = 64  # pieces in a datagram; more is nonsense
 _MOST_RUMOURS = 2_000
 
 
-@unique
-class _Kind(IntEnum):
-    PING = 0  # [number, digest, news]
-    ACK = 1  # [number, digest, news]
-    ASK = 2  # [number, name, host, port, digest, news]: ping this member for me
-    NONE = 3  # [number, digest, news]: it did not answer me either
-    BRANCHES = 4  # [path, digests, digest]
-    LEAF = 5  # [path, is_answer, claims]
-
-
 @dataclass(frozen=True, slots=True)
 class Changed:
     """Another claim holds on a member from now on."""
@@ -61,21 +60,12 @@
     claim: Claim
 
 
-@dataclass(frozen=True, slots=True)
-class Rumoured:
-    """A member was told this of a server: a reason to be cautious there, never to trust it."""
-
-    server: str
-    word: str
-    version: int
-
-
 @dataclass(slots=True)
 class Output:
     """What to send, in order, and what is new."""
 
     datagrams: list[tuple[Address, bytes]] = field(default_factory=list)
-    events: list[Changed | Rumoured] = field(default_factory=list)
+    events: list[Changed | Rumour] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -104,11 +94,12 @@
         now: int,
     ) -> None:
         self.name = name
-        self.view = View(name)
+        self.view = View()
         self.seal = Seal(name, start, keys)
         self.settings = settings
         self.slow = 0  # how slow this member takes itself to be, from 0
-        self.is_superseded = False  # a later process has its name: this one says nothing more
+        self.is_superseded = False  # a later process has its name
+        self.malformed = 0  # messages of members that can't be: of another make, or lies
         self._now = now
         self._wall = 0
         self._chance = random.Random(seed)
@@ -119,16 +110,22 @@
         self._round: list[str] = []
         self._probe: _Probe | None = None
         self._numbers = 0
-        self._for_others: dict[int, tuple[Address, int, int]] = {}  # asked as a helper: whom to tell, by when
+        self._missed = 0.0  # part of the questions that were not answered by themselves
+        self._for_others: dict[
+            int, tuple[Address, int]
+        ] = {}  # asked as a helper: whom to tell, and its number
         self._agenda: list[tuple[int, int, str, Any]] = []
         self._order = 0
-        self._accusers: dict[str, set[str]] = {}
+        self._accusers: dict[str, set[str | None]] = {}
         self._digests: dict[str, tuple[int, int]] = {}  # what others hold: digest, and when they said so
-        self._sync_left = _SYNC_MOST
-        self._rumours: dict[str, tuple[int, str]] = {}
+        self._comparison = Comparison(self.view, self._chance, self.seal.room())
+        self._rumours: dict[str, int] = {}  # what was told of servers: the version
         self._facts_told_at = now - _FACTS_APART_US
         self._facts_due = False
-        self._is_leaving = False
+        self._has_left = False
+        self._is_established = False  # whether anybody answered a question of this process
+        self._periods = 0
+        self._found = 0  # of the dead, who came back in this period: a cut has healed, and there are more
         self._hold(self._me)
         self._schedule(self._chance.randrange(settings.period_us), "period")
 
@@ -152,8 +149,8 @@
                 self._period(now - due)
             elif what == "unanswered":
                 self._unanswered(about)
-            elif what == "none":
-                self._none(about)
+            elif what == "silent":
+                self._helped_in_vain(about)
             else:
                 self._suspicion_ends(*about)
         return self._end()
@@ -162,16 +159,14 @@
         """A datagram came."""
         self._begin(now, wall)
         read = self.seal.read(wall, data)
-        if read is not None and read[0] != self.name and not self.is_superseded:
-            sender, start, kind, body = read
+        if read is not None and read[0] != self.name and not self._is_mute:
+            sender, message = read
             try:
-                self._take(sender, start, source, _Kind(kind), body)
-            except (ValueError, TypeError, KeyError, IndexError, msgspec.ValidationError):
+                self._take(sender, source, msgspec.convert(message, Message))
+            except msgspec.ValidationError:
                 self.malformed += 1
         return self._end()
 
-    malformed = 0  # messages with a good MAC that can't be read: a member of another make
-
     def tell(self, now: int, facts: Facts) -> None:
         """Tell these facts of itself from now on; they go out a few seconds apart at most."""
         if facts == self._me.facts:
@@ -190,19 +185,23 @@
         """Pass on what this member was told of a server: that it drains, is gone, or started."""
         self._now = now
         if len(server) <= 80:  # else it fits no datagram
-            self._pass_on(server, word, version)
+            self._pass_on(Rumour(server, word, version))
 
     def leave(self, now: int, wall: int) -> Output:
         """Say that this member leaves; nothing is said after it."""
         self._begin(now, wall)
-        self._is_leaving = True
         gone = msgspec.structs.replace(self._me, state=State.LEFT, facts=None)
         others = self._others()
         for name in self._chance.sample(others, min(_LEAVE_TO, len(others))):
-            self._send(self._place(name), _Kind.PING, [0, self.view.digest], [gone])
-        self.is_superseded = True
+            self._send(self._place(name), Ping(0, self.view.digest), [gone])
+        self._has_left = True
         return self._end()
 
+    @property
+    def _is_mute(self) -> bool:
+        """Whether this process says nothing more: it left, or another one is the member."""
+        return self._has_left or self.is_superseded
+
     @property
     def settled(self) -> bool:
         """Whether those that were heard last, since the view last changed, hold the same one."""
@@ -249,9 +248,9 @@
             self._woke()
         self._judge_probe()
         self._schedule(period * (1 + self.slow), "period")
-        if self.is_superseded:
+        if self._is_mute:
             return
-        self._sync_left = _SYNC_MOST
+        self._comparison.period()
         self._tell_facts_if_due()
         if self._periods % _SWEEP_PERIODS == 0:
             for name in self.view.forget(self._now, self.settings.forget_us, self.settings.remember_us):
@@ -265,9 +264,6 @@
         for _ in range(looks):
             self._look_for_lost()
 
-    _periods = 0
-    _found = 0  # of the dead, who came back in this period: a cut has healed, and there are more
-
     def _look_for_lost(self) -> None:
         """Ask one that is called dead, or an address where somebody was to be: a cut may have healed.
 
@@ -281,7 +277,7 @@
         ]
         if places:
             place, name = self._chance.choice(places)
-            self._send(place, _Kind.PING, [0, self.view.digest], self._to_tell(name))
+            self._send(place, Ping(0, self.view.digest), self._to_tell(name))
 
     def _woke(self) -> None:
         """This process stood still: what it missed says nothing of the others.
@@ -291,11 +287,15 @@
         self.slow = self.settings.slow_most
         self._probe = None
         self._digests.clear()
+        self._for_others.clear()
         ours = [each for each in self._agenda if each[2] == "suspicion"]
         self._agenda = [each for each in self._agenda if each[2] == "period"]
         heapq.heapify(self._agenda)
-        for *_, about in ours:
-            self._suspect_until(*about)
+        for *_, (name, start, incarnation) in ours:
+            held = self.view.members.get(name)
+            if held is not None:
+                held.since = self._now  # the suspect has all its time once more
+                self._believe_after(name, start, incarnation)
 
     # Asking
 
@@ -321,7 +321,7 @@
         self._numbers += 1
         self._probe = _Probe(self._numbers, target)
         place, about = (target.host, target.port), self._to_tell(target.name)
-        self._send(place, _Kind.PING, [self._numbers, self.view.digest], about)
+        self._send(place, Ping(self._numbers, self.view.digest), about)
         self._schedule(self.settings.answer_within_us * (1 + self.slow), "unanswered", self._numbers)
 
     def _unanswered(self, number: int) -> None:
@@ -332,8 +332,8 @@
         others = [each for each in self._others() if each != probe.claim.name]
         for name in self._chance.sample(others, min(self.settings.helpers, len(others))):
             probe.asked += 1
-            body = [number, probe.claim.name, probe.claim.host, probe.claim.port, self.view.digest]
-            self._send(self._place(name), _Kind.ASK, body)
+            claim = probe.claim
+            self._send(self._place(name), Ask(number, claim.name, claim.host, claim.port, self.view.digest))
 
     def _judge_probe(self) -> None:
         probe, self._probe = self._probe, None
@@ -345,19 +345,11 @@
             self.slow = max(self.slow - 1, 0)
             return
         # Helpers that say that they got nothing either show that this member's own link works.
-        self.slow = min(self.slow + 1 + max(probe.asked - probe.said_none - 1, 0), self.settings.slow_most)
-        if probe.said_none:
-            self.slow = max(self.slow - 1, 0)
+        unheard = max(probe.asked - probe.said_none - 1, 0)
+        self.slow = min(self.slow + (not probe.said_none) + unheard, self.settings.slow_most)
         claim = self.view.get(probe.claim.name)
-        if claim is not None and claim.is_there and claim.start == probe.claim.start:
-            if claim.incarnation == probe.claim.incarnation:
-                self._claim(
-                    msgspec.structs.replace(
-                        claim, state=State.SUSPECT, facts=None, host="", port=0, by=self.name
-                    )
-                )
-
-    _missed = 0.0  # part of the questions that were not answered by themselves
+        if claim is not None and claim.is_there and claim.rank[:2] == probe.claim.rank[:2]:
+            self._claim(claim.said(State.SUSPECT, by=self.name))
 
     def _suspicion_us(self, name: str) -> int:
         """How long a suspicion lasts: where much is lost on the way, a refutation takes several tries."""
@@ -365,64 +357,50 @@
         plain = self.settings.suspicion_us(self.view.there, confirmed)
         return int(plain * (1.0 + self.settings.suspicion_lossy * max(self._missed - _MISSED_USUAL, 0.0)))
 
-    def _suspect_until(self, name: str, start: int, incarnation: int) -> None:
-        self._schedule(self._suspicion_us(name), "suspicion", (name, start, incarnation))
+    def _believe_after(self, name: str, start: int, incarnation: int) -> None:
+        """Believe a suspicion once it has lasted; by more accusers sooner, so this may be said again."""
+        left_us = max(self.view.members[name].since + self._suspicion_us(name) - self._now, 0)
+        self._schedule(left_us, "suspicion", (name, start, incarnation))
 
     def _suspicion_ends(self, name: str, start: int, incarnation: int) -> None:
         held = self.view.members.get(name)
         if held is None or held.claim.rank != (start, incarnation, State.SUSPECT):
             return
-        wait_us = self._suspicion_us(name)
-        if self._now - held.since < wait_us:
-            self._schedule(held.since + wait_us - self._now, "suspicion", (name, start, incarnation))
-            return
-        dead = msgspec.structs.replace(held.claim, state=State.DEAD, facts=None, host="", port=0, by="")
-        self._claim(dead)
+        if self._now - held.since < self._suspicion_us(name):
+            self._believe_after(name, start, incarnation)
+        else:
+            self._claim(held.claim.said(State.DEAD))
 
     # Hearing
 
-    def _take(self, sender: str, start: int, source: Address, kind: _Kind, body: list[Any]) -> None:
-        match kind:
-            case _Kind.PING:
-                number, digest, news = body
-                self._take_news(news)
-                # It says itself where it is reached: what lies between may hide that.
-                if sender in self.view.members:
-                    source = self._place(sender)
-                self._compare(sender, source, digest)
-                self._send(source, _Kind.ACK, [number, self.view.digest], self._to_tell(sender))
-            case _Kind.ACK:
-                number, digest, news = body
-                self._take_news(news)
+    def _take(self, sender: str, source: Address, message: Message) -> None:
+        if isinstance(message, WithNews):
+            for each in message.news:
+                self._news_heard(each)
+        # A member says itself where it is reached: what lies between may hide that.
+        place = self._place(sender) if sender in self.view.members else source
+        match message:
+            case Ping(number):
+                self._digest_heard(sender, place, message.digest)
+                self._send(place, Ack(number, self.view.digest), self._to_tell(sender))
+            case Ack(number):
                 self._answered(number)
-                if sender in self.view.members:
-                    source = self._place(sender)
-                self._compare(sender, source, digest)
-            case _Kind.ASK:
-                number, name, host, port, digest, news = body
-                self._take_news(news)
-                if sender in self.view.members:
-                    source = self._place(sender)
-                self._compare(sender, source, digest)
+                self._digest_heard(sender, place, message.digest)
+            case Ask(number, name, host, port):
+                self._digest_heard(sender, place, message.digest)
                 self._numbers += 1
-                self._for_others[self._numbers] = (source, number, self._now)
-                self._send((host, port), _Kind.PING, [self._numbers, self.view.digest], self._to_tell(name))
-                self._schedule(self.settings.answer_within_us, "none", self._numbers)
-            case _Kind.NONE:
-                number, digest, news = body
-                self._take_news(news)
+                self._for_others[self._numbers] = (place, number)
+                self._send((host, port), Ping(self._numbers, self.view.digest), self._to_tell(name))
+                self._schedule(self.settings.answer_within_us, "silent", self._numbers)
+            case Silent(number):
                 if self._probe is not None and self._probe.number == number:
                     self._probe.said_none += 1
-            case _Kind.BRANCHES:
-                path, theirs, _ = body
-                if sender in self.view.members:
-                    source = self._place(sender)
-                self._look_into(source, tuple(path), theirs)
-            case _Kind.LEAF:
-                path, is_answer, claims = body
-                if sender in self.view.members:
-                    source = self._place(sender)
-                self._take_leaf(source, tuple(path), bool(is_answer), claims)
+            case Branches():
+                self._say(place, self._comparison.branches_heard(message))
+            case Leaf():
+                for each in message.claims:
+                    self._news_heard(each)
+                self._say(place, self._comparison.leaf_heard(message))
 
     def _to_tell(self, name: str) -> list[Claim]:
         """What goes ahead of other news to this member.
@@ -444,31 +422,27 @@
             probe.answered = self._is_established = True
         for_other = self._for_others.pop(number, None)
         if for_other is not None:
-            place, their_number, _ = for_other
-            self._send(place, _Kind.ACK, [their_number, self.view.digest])
+            place, their_number = for_other
+            self._send(place, Ack(their_number, self.view.digest))
 
-    def _none(self, number: int) -> None:
+    def _helped_in_vain(self, number: int) -> None:
         """A helper's question was not answered: that is told, so that the asker knows that it was heard."""
         for_other = self._for_others.pop(number, None)
-        if for_other is not None and not self.is_superseded:
-            place, their_number, _ = for_other
-            self._send(place, _Kind.NONE, [their_number, self.view.digest])
+        if for_other is not None:
+            place, their_number = for_other
+            self._send(place, Silent(their_number, self.view.digest))
 
     # News
 
-    def _take_news(self, news: list[Any]) -> None:
-        for piece in news[:_MOST_NEWS]:
-            if piece[0] == "":
-                _, server, word, version = piece
-                self._rumour_heard(str(server), str(word), int(version))
-            else:
-                self._claim_heard(msgspec.convert(piece, Claim))
-
-    def _claim_heard(self, claim: Claim) -> None:
-        if claim.name == self.name:
-            self._about_me(claim)
-        elif claim.name and (claim.host or claim.name in self.view.members or not claim.is_there):
-            self._claim(claim)
+    def _news_heard(self, news: News) -> None:
+        if isinstance(news, Rumour):
+            if news.version > self._rumours.get(news.server, -1):
+                self._pass_on(news)
+                self._out.events.append(news)
+        elif news.name == self.name:
+            self._about_me(news)
+        elif news.host or news.name in self.view.members or not news.is_there:
+            self._claim(news)
 
     def _about_me(self, claim: Claim) -> None:
         if claim.start > self._me.start:
@@ -479,7 +453,7 @@
             self._me = msgspec.structs.replace(self._me, start=claim.start + 1, incarnation=0)
             self.seal.start = self._me.start
             self._hold(self._me)
-        elif claim.start == self._me.start and claim.state is not State.ALIVE and not self._is_leaving:
+        elif claim.start == self._me.start and claim.state is not State.ALIVE:
             if claim.incarnation >= self._me.incarnation:
                 self._me = msgspec.structs.replace(self._me, incarnation=claim.incarnation + 1)
                 self.slow = min(self.slow + 1, self.settings.slow_most)
@@ -500,7 +474,7 @@
             if self._chance.random() * self.view.there < _LOOK_TOO:
                 # Several look at once, so that it is soon refuted or soon confirmed.
                 self._round.append(held.name)
-            self._suspect_until(held.name, held.start, held.incarnation)
+            self._believe_after(held.name, held.start, held.incarnation)
         urgent = held.state is not State.ALIVE or (before is not None and before.state is not State.ALIVE)
         self._gossip.put(claim.name, claim, self._now + _NEWS_FOR_US, urgent=urgent)
         if before is not None and not before.is_there and held.is_there:
@@ -517,9 +491,7 @@
             return
         accusers.add(claim.by)
         self._gossip.put(claim.name, claim, self._now + _NEWS_FOR_US, urgent=True)
-        held = self.view.members[claim.name]
-        left_us = max(held.since + self._suspicion_us(claim.name) - self._now, 0)
-        self._schedule(left_us, "suspicion", (claim.name, claim.start, claim.incarnation))
+        self._believe_after(claim.name, claim.start, claim.incarnation)
 
     def _hold(self, claim: Claim, *, urgent: bool = False) -> None:
         self.view.take(self._now, claim)
@@ -533,102 +505,36 @@
         self._me = msgspec.structs.replace(self._me, incarnation=self._me.incarnation + 1)
         self._hold(self._me)
 
-    def _rumour_heard(self, server: str, word: str, version: int) -> None:
-        before = self._rumours.get(server)
-        if before is None or version > before[0]:
-            self._pass_on(server, word, version)
-            self._out.events.append(Rumoured(server, word, version))
-
-    def _pass_on(self, server: str, word: str, version: int) -> None:
-        self._rumours.pop(server, None)
-        self._rumours[server] = (version, word)
+    def _pass_on(self, rumour: Rumour) -> None:
+        self._rumours.pop(rumour.server, None)
+        self._rumours[rumour.server] = rumour.version
         while len(self._rumours) > _MOST_RUMOURS:
             del self._rumours[next(iter(self._rumours))]
+        # No member's name has a space.
         until = self._now + self.settings.rumours_us
-        self._gossip.put(f"\0{server}", ["", server, word, version], until, urgent=True)
-
-    # Views that differ
+        self._gossip.put(f"server {rumour.server}", rumour, until, urgent=True)
 
-    def _compare(self, sender: str, source: Address, digest: int) -> None:
+    def _digest_heard(self, sender: str, place: Address, digest: int) -> None:
         self._digests.pop(sender, None)
         self._digests[sender] = (digest, self._now)
-        while len(self._digests) > 4 * _HEARD_FROM * _HEARD_PERIODS:
+        while len(self._digests) > _MOST_DIGESTS:
             del self._digests[next(iter(self._digests))]
-        if digest == self.view.digest:
-            self._apart = 0
-            return
-        self._apart += 1
-        if self._apart > _APART_PERIODS:
-            self._send_branches(source, ())
-
-    _is_established = False  # whether anybody answered a question of this process
-    _apart = 0  # answers in a row that told of another view
-
-    def _send_branches(self, source: Address, path: tuple[int, ...]) -> None:
-        if self._sync_left > 0:
-            self._sync_left -= 1
-            body = [list(path), self.view.branches(path), self.view.digest]
-            self._out.datagrams.append((source, self.seal.make(self._wall, _Kind.BRANCHES, body)))
-
-    def _look_into(self, source: Address, path: tuple[int, ...], theirs: list[int]) -> None:
-        if len(path) >= LEVELS:
-            raise ValueError("too deep")
-        ours = self.view.branches(path)
-        differ = [at for at, (one, other) in enumerate(zip(ours, theirs, strict=True)) if one != other]
-        self._chance.shuffle(differ)
-        for at in differ:
-            below = (*path, at)
-            if len(below) == LEVELS or sum(1 for _ in self.view.under(below)) <= _SMALL_BRANCH:
-                self._send_leaf(source, below, False)
-            else:
-                self._send_branches(source, below)
-
-    def _send_leaf(self, source: Address, path: tuple[int, ...], is_answer: bool) -> None:
-        claims = [msgspec.msgpack.encode(_brief(each)) for each in self.view.under(path)]
-        room = self.seal.room() - 24
-        while self._sync_left > 0:
-            self._sync_left -= 1
-            fit: list[msgspec.Raw] = []
-            left = room
-            while claims and len(claims[-1]) <= left:
-                left -= len(claims[-1])
-                fit.append(msgspec.Raw(claims.pop()))
-            body = [list(path), is_answer, fit]
-            self._out.datagrams.append((source, self.seal.make(self._wall, _Kind.LEAF, body)))
-            if not claims or not fit:
-                return
-
-    def _take_leaf(self, source: Address, path: tuple[int, ...], is_answer: bool, claims: list[Any]) -> None:
-        if len(path) > LEVELS:
-            raise ValueError("too deep")
-        before = self.view.digest
-        theirs = {claim.name: claim for claim in (msgspec.convert(each, Claim) for each in claims)}
-        for claim in theirs.values():
-            self._claim_heard(claim)
-        if is_answer:
-            return
-        # What they lack, or hold too lightly.
-        if any(each.over(theirs.get(each.name)) for each in self.view.under(path)) or before == 0:
-            self._send_leaf(source, path, True)
+        self._say(place, self._comparison.digest_heard(digest))
 
     # Sending
 
-    def _send(self, to: Address, kind: _Kind, body: list[Any], about: Iterable[Claim] = ()) -> None:
+    def _send(self, to: Address, message: Ping | Ack | Ask | Silent, ahead: Sequence[Claim] = ()) -> None:
         """Send a message with news: first these claims, then as much as fits."""
-        if self.is_superseded:
-            return
-        room = self.seal.room() - len(msgspec.msgpack.encode(body)) - 4
-        news: list[msgspec.Raw] = []
-        names = {each.name for each in about}
-        for claim in about:
-            piece = msgspec.msgpack.encode(claim)
-            if len(piece) <= room:
-                room -= len(piece)
-                news.append(msgspec.Raw(piece))
+        room = self.seal.room() - size(message) - 4
+        news: list[News] = []
+        for claim in ahead:
+            if size(claim) <= room:
+                room -= size(claim)
+                news.append(claim)
         times = self.settings.times_passed_on(self.view.there)
-        news += self._gossip.pick(self._now, room, times, names)
-        self._out.datagrams.append((to, self.seal.make(self._wall, kind, [*body, news])))
-
+        news += self._gossip.pick(self._now, room, times, {each.name for each in ahead})
+        self._say(to, [msgspec.structs.replace(message, news=tuple(news))])
 
-def _brief(claim: Claim) -> Claim:
-    return msgspec.structs.replace(claim, facts=None, by="")
+    def _say(self, to: Address, messages: Iterable[Message]) -> None:
+        if not self._is_mute:
+            self._out.datagrams += [(to, self.seal.make(self._wall, each)) for each in messages]
--- a/micadeck/fleet/gossip.py
+++ b/micadeck/fleet/gossip.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Container
 
-import msgspec
+from micadeck.fleet.messages import News, size
 
 _MOST_WAITING = 4_000
+_LEAST = 24  # bytes: no piece of news takes less
 
 
 class Gossip:
@@ -14,21 +15,21 @@
 
     def __init__(self) -> None:
         self._told: dict[str, int] = {}  # how often each was
-        self._pieces: dict[str, bytes] = {}
+        self._pieces: dict[str, News] = {}
         self._until: dict[str, int] = {}
         self._later: dict[str, bool] = {}  # what gives way to urgent news
 
     def __len__(self) -> int:
         return len(self._pieces)
 
-    def put(self, subject: str, piece: object, until: int, *, urgent: bool = False) -> None:
+    def put(self, subject: str, piece: News, until: int, *, urgent: bool = False) -> None:
         """Pass this on from now on, until that time; urgent news goes ahead of the other.
 
         Guards against a death that waits behind two hundred births.
         """
         self._told[subject] = 0
         self._later[subject] = not urgent
-        self._pieces[subject] = msgspec.msgpack.encode(piece)
+        self._pieces[subject] = piece
         self._until[subject] = until
         if len(self._pieces) > _MOST_WAITING:
             self.drop(max(self._told, key=lambda each: self._told[each]))
@@ -39,12 +40,12 @@
         self._until.pop(subject, None)
         self._later.pop(subject, None)
 
-    def pick(self, now: int, room: int, times: int, but: Container[str] = ()) -> list[msgspec.Raw]:
+    def pick(self, now: int, room: int, times: int, but: Container[str] = ()) -> list[News]:
         """Pieces for one datagram of so much room; each leaves once it was told so many times.
 
         `but`: subjects that are told there already.
         """
-        picked: list[msgspec.Raw] = []
+        picked: list[News] = []
         for subject in sorted(self._told, key=lambda each: (self._later[each], self._told[each])):
             if subject in but:
                 continue
@@ -52,13 +53,13 @@
             if now >= self._until[subject]:
                 self.drop(subject)
                 continue
-            if len(piece) > room:
+            if size(piece) > room:
                 continue
-            room -= len(piece)
-            picked.append(msgspec.Raw(piece))
+            room -= size(piece)
+            picked.append(piece)
             self._told[subject] += 1
             if self._told[subject] >= times:
                 self.drop(subject)
-            if room < 24:
+            if room < _LEAST:
                 break
         return picked
--- a/micadeck/fleet/host.py
+++ b/micadeck/fleet/host.py
@@ -7,8 +7,9 @@
 from magpiemux.interface import ServerState
 from micadeck.engine import Listing
 from micadeck.fleet.claims import Facts, State
-from micadeck.fleet.config import FleetConfig, check_name
-from micadeck.fleet.core import Changed, Fleet, Output, Rumoured
+from micadeck.fleet.config import FleetConfig
+from micadeck.fleet.core import Changed, Fleet, Output
+from micadeck.fleet.messages import Rumour
 from micadeck.network import Address, Network, Timer
 from micadeck.peers import Peers
 
@@ -32,14 +33,14 @@
         log: Callable[[str], None],
         doubt: Callable[[], None],
     ) -> None:
-        check_name(name)
         self._network = network
         self._peers = peers
         self._log = log
         self._doubt = doubt
         self._timer: Timer | None = None
+        self._timer_due = 0
+        self._is_closed = False
         self._said = ""
-        self._gone: set[str] = set()  # servers of which the list said so
         place = config.advertise or listen
         self.fleet = Fleet(name, network.now(), place, config.keys, seed, config.settings, self._now())
         self.fleet.tell(self._now(), Facts(config.region))
@@ -63,15 +64,13 @@
         if listing.full or len(listing.entries) > _MOST_RUMOURS:
             return
         for entry in listing.entries:
-            name, word = entry.listed.server, _GONE.get(entry.listed.state)
+            word = _GONE.get(entry.listed.state)
             if word is not None:
-                self._gone.add(name)
-                self.fleet.rumour(now, name, word, listing.version)
-            else:
-                self._gone.discard(name)
+                self.fleet.rumour(now, entry.listed.server, word, listing.version)
 
     def close(self) -> None:
         """Leave the fleet in good order."""
+        self._is_closed = True
         if self._timer is not None:
             self._timer.cancel()
         self._carry_out(self.fleet.leave(self._now(), self._network.wall()))
@@ -85,10 +84,16 @@
     def _tick(self) -> None:
         self._timer = None
         self._carry_out(self.fleet.tick(self._now(), self._network.wall()))
-        self._arm()
 
     def _arm(self) -> None:
-        self._timer = self._network.call_later(max(self.fleet.due - self._now(), 0) / 1e6, self._tick)
+        """Wait for what is due next; what came may have brought that forward."""
+        due = self.fleet.due
+        if self._timer is not None:
+            if self._timer_due <= due:
+                return
+            self._timer.cancel()
+        self._timer_due = due
+        self._timer = self._network.call_later(max(due - self._now(), 0) / 1e6, self._tick)
 
     def _carry_out(self, output: Output) -> None:
         for place, data in output.datagrams:
@@ -97,12 +102,14 @@
             match event:
                 case Changed(claim) if claim.state in _WORDS:
                     self._log(f"fleet: {claim.name} {_WORDS[claim.state]}")
-                case Rumoured(server, _, _) if server not in self._gone:
+                case Rumour():
                     # Word from a peer only makes cautious: discovery is asked what became of the server.
                     self._doubt()
                 case _:
                     pass
-        self._say()
+        if not self._is_closed:
+            self._say()
+            self._arm()
 
     def _say(self) -> None:
         """Tell operators how the view stands, when that changes."""
--- a/micadeck/fleet/seal.py
+++ b/micadeck/fleet/seal.py
@@ -1,8 +1,8 @@
 """Datagrams that only members can make, and that count once.
 
-    version (1 byte), key (1), MAC (10), then the message: [sender, start, number, wall second, kind, body]
+    version (1 byte), key (1), MAC (10), then [sender, start, number, wall second, message]
 
-The MAC is keyed BLAKE2b over version, key and message.  Of two keys in force either is taken and the first is
+The MAC is keyed BLAKE2b over all of that but itself.  Of two keys in force either is taken and the first is
 used, so that keys are changed by two reloads without a gap.  Whatever is wrong is counted by its reason, and
 changes nothing; no key and no part of a datagram goes to a log.
 """
@@ -17,12 +17,15 @@
 
 import msgspec
 
+from micadeck.fleet.claims import Name, Whole
+
 VERSION = 1
 MOST_BYTES = 256
 _MAC_BYTES = 10
 _HEAD = 2 + _MAC_BYTES
 _WINDOW = 64  # numbers behind the highest that are told apart
 _MOST_SENDERS = 20_000  # whose numbers are remembered
+_DECODER = msgspec.msgpack.Decoder(tuple[Name, Whole, Whole, Whole, Any])
 _AGED_S = 60  # a datagram that is older, or comes from so far ahead, is none of now
 
 
@@ -76,52 +79,50 @@
         self._current = keys.by_number[0][0]
 
     def room(self) -> int:
-        """How many bytes a body may have."""
-        return MOST_BYTES - _HEAD - len(self._packed(0, 0, 0, b"")) - 8  # numbers grow by as much
+        """How many bytes a message may have."""
+        return MOST_BYTES - _HEAD - len(self._packed(0, 0, None)) - 8  # numbers grow by as much
 
-    def _packed(self, number: int, wall_s: int, kind: int, body: Any) -> bytes:
-        return msgspec.msgpack.encode([self._name, self.start, number, wall_s, kind, body])
+    def _packed(self, number: int, wall_s: int, message: Any) -> bytes:
+        return msgspec.msgpack.encode([self._name, self.start, number, wall_s, message])
 
-    def make(self, wall_us: int, kind: int, body: Any) -> bytes:
+    def make(self, wall_us: int, message: Any) -> bytes:
         """A datagram; raises ValueError if it is too long."""
         self._number += 1
-        message = self._packed(self._number, wall_us // 1_000_000, kind, body)
-        if _HEAD + len(message) > MOST_BYTES:
-            raise ValueError(f"a datagram of {_HEAD + len(message)} bytes: {MOST_BYTES} are the most")
+        packed = self._packed(self._number, wall_us // 1_000_000, message)
+        if _HEAD + len(packed) > MOST_BYTES:
+            raise ValueError(f"a datagram of {_HEAD + len(packed)} bytes: {MOST_BYTES} are the most")
         head = bytes((VERSION, self._current))
-        return head + self._mac(self._current, head, message) + message
+        return head + self._mac(self._current, head, packed) + packed
 
-    def _mac(self, number: int, head: bytes, message: bytes) -> bytes:
-        return hashlib.blake2b(head + message, key=self._keys[number], digest_size=_MAC_BYTES).digest()
+    def _mac(self, number: int, head: bytes, packed: bytes) -> bytes:
+        return hashlib.blake2b(head + packed, key=self._keys[number], digest_size=_MAC_BYTES).digest()
 
-    def read(self, wall_us: int, data: bytes) -> tuple[str, int, int, Any] | None:
-        """Sender, its start, kind and body; None if it is dropped, and the reason is counted."""
+    def read(self, wall_us: int, data: bytes) -> tuple[str, Any] | None:
+        """The sender and what it says; None if it is dropped, and the reason is counted."""
         how = self._read(wall_us, data)
         if isinstance(how, Dropped):
             self.dropped[how] += 1
             return None
         return how
 
-    def _read(self, wall_us: int, data: bytes) -> tuple[str, int, int, Any] | Dropped:
+    def _read(self, wall_us: int, data: bytes) -> tuple[str, Any] | Dropped:
         if not _HEAD < len(data) <= MOST_BYTES:
             return Dropped.CUT
         if data[0] != VERSION:
             return Dropped.VERSION
         if data[1] not in self._keys:
             return Dropped.FOREIGN
-        message = data[_HEAD:]
-        if not hmac.compare_digest(data[2:_HEAD], self._mac(data[1], data[:2], message)):
+        packed = data[_HEAD:]
+        if not hmac.compare_digest(data[2:_HEAD], self._mac(data[1], data[:2], packed)):
             return Dropped.FORGED
         try:
-            sender, start, number, wall_s, kind, body = msgspec.msgpack.decode(
-                message, type=tuple[str, int, int, int, int, Any]
-            )
+            sender, start, number, wall_s, message = _DECODER.decode(packed)
         except msgspec.DecodeError:
             return Dropped.CUT
         if abs(wall_us // 1_000_000 - wall_s) > _AGED_S:
             return Dropped.AGED
         fault = self._counts(sender, start, number)
-        return fault or (sender, start, kind, body)
+        return fault or (sender, message)
 
     def _counts(self, sender: str, start: int, number: int) -> Dropped | None:
         known = self._seen.pop(sender, None)
--- a/micadeck/fleet/view.py
+++ b/micadeck/fleet/view.py
@@ -15,7 +15,7 @@
 
 BRANCHES = 16
 LEVELS = 2  # of branches below the whole: 256 leaves
-_MASK = (1 << 64) - 1
+_MASK = (1 << 63) - 1
 
 
 class Count(msgspec.Struct, frozen=True):
@@ -36,8 +36,7 @@
 class View:
     """All members and what is claimed of them; claims that hold are taken, the others are not."""
 
-    def __init__(self, name: str) -> None:
-        self.name = name
+    def __init__(self) -> None:
         self.members: dict[str, Held] = {}
         self.states = [0] * len(State)  # how many members are in each
         self._gone: dict[str, tuple[tuple[int, int, int], int]] = {}  # dropped: rank, and when
@@ -135,13 +134,9 @@
 
 def _with_facts(claim: Claim, before: Claim) -> Claim:
     """What is claimed of a member's state by others says nothing of its place and its facts."""
-    return (
-        claim
-        if claim.host
-        else msgspec.structs.replace(
-            claim, host=before.host, port=before.port, facts=claim.facts or before.facts
-        )
-    )
+    if claim.host:
+        return claim
+    return msgspec.structs.replace(claim, host=before.host, port=before.port, facts=before.facts)
 
 
 def _hash(text: str) -> int:
--- a/micadeck/library/worker.py
+++ b/micadeck/library/worker.py
@@ -211,7 +211,7 @@
             await self._drain.wait()
             await core.drain(self.longest_s)
         finally:
-            core.engine.close()
+            core.close()
         await asyncio.sleep(0)  # connections end in a later round of the loop
 
     def _unhandled(self, loop: asyncio.AbstractEventLoop, what: dict[str, Any]) -> None:
--- a/micadeck/membership/roster.py
+++ b/micadeck/membership/roster.py
@@ -155,10 +155,9 @@
         alone: guards against storms on a discovery that is slow or down.
         """
         self._renewal = None
-        is_watched = self._watch is not None and not self._watch.done() and self._watch_answered
-        if not is_watched or not self._vigil.is_due(self._network.now()):
+        is_due = self._vigil.is_due(self._network.now())
+        if not is_due or self._watch is None or self._watch.done() or not self._watch_answered:
             return
-        assert self._watch is not None
         self._watch.cancel()
         self._watch_answered = False
         self._wants_whole = True
--- a/micadeck/network/__init__.py
+++ b/micadeck/network/__init__.py
@@ -4,7 +4,7 @@
 the system's clocks and sockets.  A virtual clock and an in-memory network can take its place in a simulation.
 """
 
-from micadeck.network.loop import LoopNetwork
+from micadeck.network.loop import LoopNetwork, OnLoop
 from micadeck.network.port import Address, Apart, Listener, Network, Stream, Timer, parse_address, place
 
 __all__ = [
@@ -13,6 +13,7 @@
     "Listener",
     "LoopNetwork",
     "Network",
+    "OnLoop",
     "Stream",
     "Timer",
     "parse_address",
--- a/micadeck/network/loop.py
+++ b/micadeck/network/loop.py
@@ -123,23 +123,15 @@
             accepted.close()  # the client was quicker
 
 
-class LoopNetwork:
-    """`Network` on the event loop that runs as it is made."""
+class OnLoop:
+    """What a `Network` has of an event loop, whatever its clock and its sockets are."""
 
-    def __init__(self) -> None:
-        loop = self._loop = asyncio.get_running_loop()
-        self.now = Clock().now
-        self.wall = wall
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
         self.time = loop.time
         self.call_later = loop.call_later
         self.call_soon = loop.call_soon
         self.call_from_apart = loop.call_soon_threadsafe
-        self.stream = LoopStream
-
-    def apart(self, name: str) -> Apart:
-        from micadeck.network.apart import LoopApart  # nothing of it is loaded where it is not asked for
-
-        return LoopApart(name)
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         return self._loop.create_task(work)
@@ -150,6 +142,21 @@
     def timeout(self, seconds: float) -> AbstractAsyncContextManager[object]:
         return asyncio.timeout(seconds)
 
+
+class LoopNetwork(OnLoop):
+    """`Network` on the event loop that runs as it is made."""
+
+    def __init__(self) -> None:
+        super().__init__(asyncio.get_running_loop())
+        self.now = Clock().now
+        self.wall = wall
+        self.stream = LoopStream
+
+    def apart(self, name: str) -> Apart:
+        from micadeck.network.apart import LoopApart  # nothing of it is loaded where it is not asked for
+
+        return LoopApart(name)
+
     async def dial(self, make: Callable[[], P], address: Address) -> P:
         _, protocol = await self._loop.create_connection(make, *address)
         return protocol
--- a/micadeck/peers.py
+++ b/micadeck/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from typing import cast
 
 from micadeck.network import Address, Network
@@ -31,7 +32,8 @@
     def send_raw(self, to: Address, payload: bytes) -> None:
         """Send to an address; it may be lost, also here."""
         if self._transport is not None:
-            self._transport.sendto(payload, to)
+            with suppress(OSError, ValueError):  # no such address
+                self._transport.sendto(payload, to)
 
     def rename(self, peers: tuple[Address, ...], everyone: Address | None) -> None:
         """Reach the tier's sidecars at these addresses from now on."""
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -118,8 +118,9 @@
 
     def _with_fleet(self, config: Config, doubt: Callable[[], None]) -> FleetHost | None:
         """A member of the fleet; without the wish for it, nothing of it is loaded."""
-        if config.fleet is None or config.peer_listen is None:
+        if config.fleet is None:
             return None
+        assert config.peer_listen is not None  # the configuration sees to it
         from micadeck.fleet.host import FleetHost
 
         listen, me = config.peer_listen, config.settings.me
@@ -225,6 +226,12 @@
         self._divide_descriptors()
         self.upstream.trim()
 
+    def close(self) -> None:
+        """Let go of everything, at once."""
+        if self.fleet is not None:
+            self.fleet.close()
+        self.engine.close()
+
     async def drain(self, within_s: float) -> None:
         """Wait until all that was taken has its answer; what has none by then has failed."""
         network, engine = self.network, self.engine
@@ -424,9 +431,7 @@
             self._beside.leave()
         if self.door is not None:
             self.door.close()
-        if self._core.fleet is not None:
-            self._core.fleet.close()
-        self._engine.close()
+        self._core.close()
         if self._core.recorder is not None:
             self._core.recorder.close()
         if self._core.recording is not None:
--- a/micadeck/simulation/network.py
+++ b/micadeck/simulation/network.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from contextlib import AbstractAsyncContextManager
-from typing import Any, TypeVar
+from collections.abc import Callable
+from typing import TypeVar
 
-from micadeck.network import Address, Stream
+from micadeck.network import Address, OnLoop, Stream
 from micadeck.simulation.loop import Host
 from micadeck.simulation.wire import Machine, VirtualDatagrams, VirtualListener
 
@@ -18,24 +17,20 @@
 T = TypeVar("T")
 
 
-class VirtualNetwork:
+class VirtualNetwork(OnLoop):
     """`Network` for one host.  `ahead_us`: how far its clock stands from the others'."""
 
     def __init__(self, machine: Machine, ahead_us: int = 0) -> None:
+        super().__init__(machine.wire.loop)
         self.machine = machine
-        self._loop = machine.wire.loop
         self._ahead_us = ahead_us
-        self.time = self._loop.time
-        self.call_later = self._loop.call_later
-        self.call_soon = self._loop.call_soon
-        self.call_from_apart = self._loop.call_soon_threadsafe
 
     @property
     def host(self) -> Host:
         return self.machine.host
 
     def now(self) -> int:
-        return EPOCH_US + self._ahead_us + self._loop.now_us
+        return EPOCH_US + self._ahead_us + self.machine.wire.loop.now_us
 
     def wall(self) -> int:
         return self.now()
@@ -43,15 +38,6 @@
     def apart(self, name: str) -> SameThread:
         return SameThread(self)
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        return self._loop.create_task(work)
-
-    async def sleep(self, seconds: float) -> None:
-        await asyncio.sleep(seconds)
-
-    def timeout(self, seconds: float) -> AbstractAsyncContextManager[object]:
-        return asyncio.timeout(seconds)
-
     async def dial(self, make: Callable[[], P], address: Address) -> P:
         protocol: P = await self.machine.dial(make, address)
         return protocol
--- a/micadeck/simulation/world.py
+++ b/micadeck/simulation/world.py
@@ -465,8 +465,7 @@
         for process in self.sidecars:
             process.discovery = new
             process.reload(process.config(self.first_list))
-        self.oracles.told_nothing(True)
-        self.oracles.told_nothing(False)
+        self._unheard([])()  # what was told of the old one's list is told anew
         self.later(0.3, old.go_down)
 
     def _kill(self, fault: Fault) -> Callable[[], None] | None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,8 +8,9 @@
 import pytest
 from fleet_stage import KEYS, MS, WALL, FleetStage, S
 
-from micadeck.fleet import Claim, Dropped, Facts, Keys, Rumoured, Seal, State, View
+from micadeck.fleet import Claim, Dropped, Facts, Keys, Rumour, Seal, State, View
 from micadeck.fleet.gossip import Gossip
+from micadeck.fleet.messages import Ping
 from micadeck.fleet.settings import FleetSettings
 
 # Claims
@@ -35,7 +36,7 @@
     drawn, heard = random.Random(seed), claims(seed, 40)
     views = []
     for _ in range(3):
-        view = View("me")
+        view = View()
         for at, claim in enumerate(drawn.sample(heard, len(heard)) + drawn.choices(heard, k=30)):
             view.take(at, claim)
         views.append(view)
@@ -52,7 +53,7 @@
 
 
 def test_one_that_was_forgotten_is_not_brought_back_by_slow_gossip() -> None:
-    view = View("me")
+    view = View()
     alive = Claim("n1", 5, 1, State.ALIVE, "h", 1)
     assert view.take(0, alive)
     assert view.take(1, msgspec.structs.replace(alive, state=State.DEAD))
@@ -62,29 +63,37 @@
 
 
 def test_word_of_a_death_that_comes_before_the_birth_is_kept() -> None:
-    view = View("me")
+    view = View()
     assert not view.take(0, Claim("n1", 5, 3, State.DEAD))
     assert not view.take(1, Claim("n1", 5, 2, State.ALIVE, "h", 1))
     assert view.take(2, Claim("n1", 5, 4, State.ALIVE, "h", 1))
 
 
+def rumour(server: str) -> Rumour:
+    return Rumour(server, "x" * 14, 1)
+
+
+def picked(gossip: Gossip, now: int, room: int, times: int, but: tuple[str, ...] = ()) -> list[str]:
+    return [each.server for each in gossip.pick(now, room, times, but) if isinstance(each, Rumour)]
+
+
 def test_news_told_least_goes_first_and_ends_after_so_many_times() -> None:
     gossip = Gossip()
     for subject in "abc":
-        gossip.put(subject, [subject, "x" * 20], until=100)
-    told = [[msgspec.msgpack.decode(each)[0] for each in gossip.pick(0, 50, 2)] for _ in range(4)]
+        gossip.put(subject, rumour(subject), until=100)
+    told = [picked(gossip, 0, 50, 2) for _ in range(4)]
     assert sorted(each for some in told for each in some) == ["a", "a", "b", "b", "c", "c"] and not gossip
-    gossip.put("a", ["a"], until=100)
-    gossip.put("b", ["b"], until=5)
-    assert [msgspec.msgpack.decode(each)[0] for each in gossip.pick(10, 50, 9, {"c"})] == ["a"]
+    gossip.put("a", rumour("a"), until=100)
+    gossip.put("b", rumour("b"), until=5)
+    assert picked(gossip, 10, 50, 9, ("c",)) == ["a"]
 
 
 def test_news_of_a_death_goes_ahead_of_a_flood_of_births() -> None:
     gossip = Gossip()
     for number in range(200):
-        gossip.put(f"n{number}", [f"n{number}", "x" * 20], until=100)
-    gossip.put("dead", ["dead", "x" * 20], until=100, urgent=True)
-    told = [[msgspec.msgpack.decode(each)[0] for each in gossip.pick(0, 90, 5)] for _ in range(6)]
+        gossip.put(f"n{number}", rumour(f"n{number}"), until=100)
+    gossip.put("dead", rumour("dead"), until=100, urgent=True)
+    told = [picked(gossip, 0, 90, 5) for _ in range(6)]
     assert [each[0] for each in told] == ["dead"] * 5 + [told[5][0]] and told[5][0] != "dead"
 
 
@@ -98,29 +107,29 @@
 def test_each_fault_of_a_datagram_is_counted_by_its_reason_and_changes_nothing() -> None:
     old, new = (1, b"o" * 16), (2, b"n" * 16)
     reader, writer = seal("n0"), seal()
-    good = writer.make(WALL, 0, ["x"])
-    assert reader.read(WALL, good) == ("n1", 1, 0, ["x"])
+    good = writer.make(WALL, ["x"])
+    assert reader.read(WALL, good) == ("n1", ["x"])
     for data, why in (
         (good, Dropped.REPLAYED),
         (b"", Dropped.CUT),
         (good[:20], Dropped.FORGED),
         (good + b"x" * 250, Dropped.CUT),
         (b"\x09" + good[1:], Dropped.VERSION),
-        (seal("n2", 1, Keys((new,))).make(WALL, 0, []), Dropped.FOREIGN),
-        (seal("n2", 1, Keys((old,))).make(WALL, 0, []), Dropped.FORGED),
-        (seal("n2").make(WALL - 100 * S, 0, []), Dropped.AGED),
+        (seal("n2", 1, Keys((new,))).make(WALL, []), Dropped.FOREIGN),
+        (seal("n2", 1, Keys((old,))).make(WALL, []), Dropped.FORGED),
+        (seal("n2").make(WALL - 100 * S, []), Dropped.AGED),
     ):
         before = reader.dropped[why]
         assert reader.read(WALL, data) is None and reader.dropped[why] == before + 1
     for at in range(len(good)):
         assert reader.read(WALL, good[:at] + bytes((good[at] ^ 1,)) + good[at + 1 :]) is None
-    assert reader.read(WALL, seal("n1", 2).make(WALL, 0, [])) is not None  # a new process, from number 1
-    assert reader.read(WALL, writer.make(WALL, 0, [])) is None and reader.dropped[Dropped.STALE] == 1
+    assert reader.read(WALL, seal("n1", 2).make(WALL, [])) is not None  # a new process, from number 1
+    assert reader.read(WALL, writer.make(WALL, [])) is None and reader.dropped[Dropped.STALE] == 1
 
 
 def test_numbers_out_of_order_count_once_each() -> None:
     reader, writer = seal("n0"), seal()
-    made = [writer.make(WALL, 0, [at]) for at in range(80)]
+    made = [writer.make(WALL, [at]) for at in range(80)]
     random.Random(1).shuffle(made)
     taken = [each for each in made if reader.read(WALL, each)]
     assert len(taken) > 60 and not any(reader.read(WALL, each) for each in made[-1:] + taken)
@@ -137,7 +146,7 @@
         (one, (new,)),
     ):
         step[0].change(Keys(step[1]))
-        assert one.read(WALL, other.make(WALL, 0, [])) and other.read(WALL, one.make(WALL, 0, []))
+        assert one.read(WALL, other.make(WALL, [])) and other.read(WALL, one.make(WALL, []))
     assert "ooo" not in repr(Keys((old, new)))
     for bad in ((), (old, old), ((256, b"o" * 16),), ((1, b"short"),)):
         with pytest.raises(ValueError, match="keys"):
@@ -212,9 +221,7 @@
     stage.start("n2", ["n0"])
     stage.until(stage.agree, 20 * S)
     # What reaches the old one, which is still there, tells it so.
-    news = stage.members["n0"]._gossip
-    news.put("n2", news_of(stage, "n0", "n2"), stage.now + S)
-    ping = stage.members["n0"].seal.make(WALL + stage.now, 0, [0, 0, [news_of(stage, "n0", "n2")]])
+    ping = stage.members["n0"].seal.make(WALL + stage.now, Ping(0, 0, (news_of(stage, "n0", "n2"),)))
     old.heard(stage.now, WALL + stage.now, stage.address("n0"), ping)
     assert old.is_superseded
     assert old.tick(old.due, WALL + old.due).datagrams == []
@@ -281,11 +288,11 @@
     stage.members["n3"].rumour(stage.now, "s-17", "draining", 41)
 
     def heard() -> set[str]:
-        return {name for _, name, event in stage.events if isinstance(event, Rumoured)}
+        return {name for _, name, event in stage.events if isinstance(event, Rumour)}
 
     assert stage.until(lambda: len(heard()) == 9, 20 * S) < 5 * S
     stage.run(20 * S)
-    assert sum(isinstance(event, Rumoured) for _, _, event in stage.events) == 9
+    assert sum(isinstance(event, Rumour) for _, _, event in stage.events) == 9
 
 
 def test_facts_reach_all_a_few_seconds_apart_at_most() -> None:
@@ -309,10 +316,10 @@
     before = {name: held.claim for name, held in member.view.members.items()}
     for _ in range(300):
         member.heard(stage.now, WALL + stage.now, stage.address("n1"), drawn.randbytes(drawn.randrange(260)))
-        body = drawn.choice(
-            [[], [1], [1, 2, 3], [0, 0, [[]]], [0, 0, [["n1"]]], [[9, 9, 9], [0] * 16, 0], "x", 7]
+        body: list[object] = drawn.choice(
+            [[], [1], [1, 2, 3], [0, 0, [[]]], [0, 0, [["n1"]]], [[9, 9, 9], [0] * 16], ["x"]]
         )
-        data = liar.make(WALL + stage.now, drawn.randrange(8), body)
+        data = liar.make(WALL + stage.now, [drawn.randrange(8), *body])
         member.heard(stage.now, WALL + stage.now, stage.address("n1"), data)
     assert {name: held.claim for name, held in member.view.members.items()} == before
     assert member.malformed > 100
--- a/tests/test_fleet_host.py
+++ b/tests/test_fleet_host.py
@@ -4,19 +4,24 @@
 
 import asyncio
 import random
+from collections.abc import Callable, Coroutine
 from pathlib import Path
+from typing import Any
 
 import pytest
 from helpers import S
 
 from magpiemux.interface import ListedServer, ServerState
 from micadeck import errors
+from micadeck.config import ConfigError, parse
 from micadeck.engine import Entry, Listing
-from micadeck.fleet.config import FleetConfig, FleetConfigError, check_name, load
+from micadeck.fleet.config import FleetConfig, FleetConfigError, load
 from micadeck.fleet.host import FleetHost
-from micadeck.fleet.seal import Keys
+from micadeck.fleet.messages import Ask
+from micadeck.fleet.seal import Keys, Seal
 from micadeck.fleet.settings import FleetSettings
 from micadeck.peers import Peers
+from micadeck.sidecar import Core
 from micadeck.simulation.loop import Host, VirtualLoop
 from micadeck.simulation.network import VirtualNetwork
 from micadeck.simulation.wire import Wire
@@ -24,33 +29,52 @@
 KEYS = Keys(((1, b"k" * 32),))
 
 
+def virtual() -> Wire:
+    return Wire(VirtualLoop(3), random.Random(4))  # type: ignore[abstract]
+
+
+def host_of(wire: Wire, number: int) -> VirtualNetwork:
+    return VirtualNetwork(wire.machine(Host(f"sidecar-{number}"), f"10.0.0.{number + 1}"))
+
+
 class Fleetful:
     """Some hosts, each with what it logged and how often it doubted its list."""
 
     def __init__(self, count: int) -> None:
-        self.loop = VirtualLoop(3)  # type: ignore[abstract]
-        self.wire = Wire(self.loop, random.Random(4))
+        self.wire = virtual()
+        self.loop = self.wire.loop
         self.logs: list[list[str]] = [[] for _ in range(count)]
         self.doubts = [0] * count
         self.hosts: list[FleetHost] = []
         self.places = tuple((f"10.0.0.{number + 1}", 9100) for number in range(count))
 
-    async def start(self, keys: Keys = KEYS) -> None:
+    async def start(self) -> None:
         for number, place in enumerate(self.places):
-            network = VirtualNetwork(self.wire.machine(Host(f"sidecar-{number}"), place[0]))
+            network = host_of(self.wire, number)
             peers = Peers(network, self.places, None, number)
 
             def doubt(number: int = number) -> None:
                 self.doubts[number] += 1
 
-            config, log = FleetConfig(keys, "north", None, FleetSettings()), self.logs[number].append
-            host = FleetHost(
-                network, peers, config, f"n{number}", place, self.places, number, log, doubt
-            )  # fmt: skip
+            config, log = FleetConfig(KEYS, "north", None, FleetSettings()), self.logs[number].append
+            host = FleetHost(network, peers, config, f"n{number}", place, self.places, number, log, doubt)
             await peers.listen(place, lambda sender, data: None)
             host.start()
             self.hosts.append(host)
 
+    def play(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Start all, do this once they agree, and end all."""
+
+        async def whole() -> None:
+            await self.start()
+            await asyncio.sleep(12.0)
+            assert all(host.fleet.settled for host in self.hosts)
+            await work()
+            for host in self.hosts:
+                host.close()
+
+        self.loop.run_until_complete(whole())
+
 
 def entry(name: str, state: ServerState) -> Entry:
     address = None if state is ServerState.GONE else ("10.1.0.1", 80)
@@ -61,38 +85,126 @@
     fleet = Fleetful(4)
 
     async def work() -> None:
-        await fleet.start()
-        await asyncio.sleep(12.0)
-        assert all(host.fleet.settled for host in fleet.hosts)
         told = Listing(7, False, (entry("s-1", ServerState.DRAINING), entry("s-2", ServerState.READY)))
         fleet.hosts[3].listed(told)
         fleet.hosts[1].listed(told)  # it was told by its own discovery as well
         await asyncio.sleep(5.0)
         assert [count > 0 for count in fleet.doubts] == [True, False, True, False]
-        for host in fleet.hosts:
-            host.close()
 
-    fleet.loop.run_until_complete(work())
+    fleet.play(work)
     assert all("fleet: 4 members, settled" in log for log in fleet.logs)
+    assert not any(
+        "later process" in text for log in fleet.logs for text in log
+    )  # they left, nobody took over
 
 
 def test_a_list_that_is_all_news_says_nothing_of_single_servers() -> None:
     fleet = Fleetful(3)
 
     async def work() -> None:
-        await fleet.start()
-        await asyncio.sleep(8.0)
         many = tuple(entry(f"s-{number}", ServerState.DRAINING) for number in range(200))
         fleet.hosts[0].listed(Listing(8, False, many))
         fleet.hosts[0].listed(Listing(9, True, many[:3]))
         await asyncio.sleep(5.0)
-        for host in fleet.hosts:
-            host.close()
 
-    fleet.loop.run_until_complete(work())
+    fleet.play(work)
     assert fleet.doubts == [0, 0, 0]
 
 
+class Stranger(asyncio.DatagramProtocol):
+    """Has the key, and says what it likes."""
+
+    def __init__(self, fleet: Fleetful) -> None:
+        self.heard: list[tuple[float, int]] = []
+        self.seal = Seal("stranger", 1, KEYS)
+        self.network = host_of(fleet.wire, 9)
+        self._fleet = fleet
+
+    def connection_made(self, transport: Any) -> None:
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        read = Seal("any", 1, KEYS).read(self.network.wall(), data)
+        assert read is not None
+        self.heard.append((self._fleet.loop.time(), read[1][0]))
+
+    def say(self, message: Any) -> None:
+        self._transport.sendto(self.seal.make(self.network.wall(), message), self._fleet.places[0])
+
+
+def test_a_helper_tells_in_time_that_it_got_no_answer_either() -> None:
+    fleet = Fleetful(3)
+
+    async def work() -> None:
+        stranger = Stranger(fleet)
+        await stranger.network.datagrams(lambda: stranger, ("10.0.0.10", 9100))
+        for number in range(8):  # wherever the helper's own period stands
+            asked_at = fleet.loop.time()
+            stranger.say(Ask(number, "n8", "10.0.0.9", 9100, 0))
+            await asyncio.sleep(0.41)
+            told = [at - asked_at for at, kind in stranger.heard if kind == 3]
+            assert len(told) == 1 and told[0] < 0.25
+            stranger.heard.clear()
+
+    fleet.play(work)
+
+
+GOOD_CLAIM = [0, "n7", 5, 0, 0, "10.0.0.7", 9100, None, None]
+# Of a claim: which part can't be, and what stands there.
+LIES = [
+    (1, "n" * 150),  # a name that leaves no room in a datagram
+    (1, ""),
+    (2, -1),
+    (3, 2**64 - 1),  # an incarnation that nobody can refute
+    (4, 9),
+    (5, "no address"),
+    (6, 70_000),
+    (7, ["r" * 150, 0, 0]),
+    (8, "b" * 150),
+]
+
+
+@pytest.mark.parametrize(("part", "lie"), LIES)
+def test_a_member_that_tells_what_cannot_be_stops_nobody(part: int, lie: Any) -> None:
+    fleet = Fleetful(3)
+    claim = [*GOOD_CLAIM[:part], lie, *GOOD_CLAIM[part + 1 :]]
+
+    async def work() -> None:
+        stranger = Stranger(fleet)
+        await stranger.network.datagrams(lambda: stranger, ("10.0.0.10", 9100))
+        stranger.say([0, 1, 0, [claim]])
+        stranger.say([5, [0, 0], False, [claim]])
+        if part in (1, 5, 6):
+            stranger.say([2, 1, claim[1], claim[5], claim[6], 0, []])
+        await asyncio.sleep(10.0)
+        assert all(host.fleet.settled for host in fleet.hosts)
+        assert fleet.hosts[0].fleet.malformed == (3 if part in (1, 5, 6) else 2)
+
+    fleet.play(work)
+    assert fleet.loop.faults == []
+
+
+def test_who_uses_the_core_without_the_daemon_leaves_in_good_order_too(tmp_path: Path) -> None:
+    (tmp_path / "k").write_text("ab" * 32)
+    (tmp_path / "fleet.toml").write_text(GOOD)
+    wire = virtual()
+    logs: list[list[str]] = [[], []]
+
+    async def work() -> None:
+        cores = []
+        for number in range(2):
+            given = {**of_fleet(tmp_path), "name": f"n{number}", "peer_listen": f"10.0.0.{number + 1}:9100"}
+            cores.append(Core(parse(given), host_of(wire, number), logs[number].append))
+            await cores[-1].start()
+        await asyncio.sleep(8.0)
+        cores[0].close()
+        await asyncio.sleep(2.0)
+        cores[1].close()
+
+    wire.loop.run_until_complete(work())
+    assert "fleet: n0 has left" in logs[1] and "fleet: n0 is taken for dead" not in logs[1]
+
+
 GOOD = '[[keys]]\nnumber = 1\nfile = "k"\n'
 
 
@@ -125,12 +237,39 @@
     assert load(str(path)).keys.by_number == ((1, bytes.fromhex("ab" * 32)),)
 
 
-def test_a_file_that_is_not_there_and_a_name_that_fits_no_datagram() -> None:
-    with pytest.raises(FleetConfigError, match="can't be read"):
-        load("/nowhere/fleet.toml")
-    with pytest.raises(FleetConfigError, match="name"):
-        check_name("n" * 41)
-    check_name("n" * 40)
+def of_fleet(folder: Path) -> dict[str, Any]:
+    """A configuration with the fleet that stands in this folder."""
+    return {
+        "name": "n0",
+        "listen": "10.0.0.1:0",
+        "discovery": "10.9.9.9:1",
+        "seed": "1",
+        "peer_listen": "10.0.0.1:9100",
+        "peers": ["10.0.0.1:9100", "10.0.0.2:9100"],
+        "fleet": str(folder / "fleet.toml"),
+        "settings": {
+            "lanes": [{"name": "check", "giveUpUs": 500_000, "promiseUs": 200_000}],
+            "bounds": {"sendCap": 3, "mayTell": True},
+        },
+    }
+
+
+@pytest.mark.parametrize(
+    ("change", "names"),
+    [
+        ({"name": "n" * 41}, "name"),
+        ({"name": "vessel desk"}, "name"),
+        ({"peer_listen": None}, "peer_listen"),
+        ({"settings": {"lanes": [{"name": "check", "giveUpUs": 1, "promiseUs": 1}]}}, "mayTell"),
+        ({"fleet": "/nowhere/fleet.toml"}, "can't be read"),
+    ],
+)
+def test_what_a_member_cannot_do_without_is_named(tmp_path: Path, change: dict[str, Any], names: str) -> None:
+    (tmp_path / "k").write_text("ab" * 32)
+    (tmp_path / "fleet.toml").write_text(GOOD)
+    assert parse(of_fleet(tmp_path)).fleet is not None
+    with pytest.raises(ConfigError, match=names):
+        parse({**of_fleet(tmp_path), **change})
 
 
 def test_each_error_of_its_own_says_what_an_operator_can_do() -> None:
--- a/tests/test_vigil.py
+++ b/tests/test_vigil.py
@@ -158,6 +158,16 @@
     assert len(agent.calls) <= 2 and heard  # the first call kept its place, and was answered
 
 
+def test_a_doubt_that_came_to_nothing_while_discovery_was_slow_leaves_later_ones_heeded() -> None:
+    def then(agent: Agent, roster: Roster) -> None:
+        agent.late_s.append(1.5)  # its first answer is due after the doubt is
+        agent._wire.loop.call_later(0.1, roster.doubt)
+        agent._wire.loop.call_later(4.0, roster.doubt)
+
+    agent, _ = watch("never", 0.0, False, then, length_s=7.0)
+    assert [at for at, target in agent.calls if "after" not in target and at > 4.0]
+
+
 def test_a_list_that_was_confirmed_since_is_not_doubted() -> None:
     vigil = Vigil(10 * S, random.Random(1))
     assert vigil.doubted(100) is not None
