Write no repeat that its servers have forgotten, and nothing for a client that has left

With a line at each write and end of a keyed attempt (a scratch copy): first attempt written at 2.889 s, the repeat decided on at 3.289 s, within its window; its dial came up 97 ms later, and it was written at 3.385 s, outside it.

Ruled out: the group (the same in all traced repeats), a second copy, the window's start (counted from the decision, which is no later than the first byte).

Cause: balancer._may_run_again looks at the clock as it decides; upstream._dial writes whenever the dial comes up. Change: `Send.write_by`, from one place (`_repeat_by`): what is not written whole by then ends unsent. It is a tick and the way there before the window's end. An attempt keeps the zone and cell that its server had.

Also: without `mayCancel` an attempt whose client left while it dialled was written for nobody (balancer._close calls off only with leave). What is not written needs no leave: the engine withdraws it as soon as nobody waits.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -91,6 +91,8 @@
 STALE_STEP_BACK = 0.3  # an answer on one speaks against it, but some servers may keep theirs
 STALE_AIMS = 16.0  # what was learnt of idle connections fades in this many of the longest aim
 STALE_ODDS = 0.25  # from these odds on, idle connections are not relied on
+WAY_DIALS = 0.2  # of the time that a dial may take: a request's last byte takes no longer to a server
+WAY_MOST = 0.1  # nor longer than this part of the time for which servers remember it
 GHOST_LIFE = 1.0  # an attempt given up on counts as in flight for as long again as it was waited for
 HEAVY_POWER = 3.0  # of pace, in the odds for a request of four times the mean cost or more
 PACE_STEP = 0.1  # a server's pace follows its last ten answers or so, or fewer where few are in flight
@@ -176,6 +178,7 @@
 
     index: int
     server: Server
+    group: tuple[str, int]  # its zone and cell as it was sent: a list may move them
     sent_at: int
     answers_before: int  # how many answers had come by then, from all servers
     pending: bool = True
@@ -824,7 +827,8 @@
             return False  # rule 4
         if self._is_cold(server):
             server.allowance -= request.cost
-        attempt = Attempt(len(request.attempts), server, self._now, self._answers)
+        write_by = self._repeat_by(request)
+        attempt = Attempt(len(request.attempts), server, (server.zone, server.cell), self._now, self._answers)
         attempt.idled = self._idle_time(server)
         request.attempts.append(attempt)
         server.in_flight += 1
@@ -839,7 +843,7 @@
             self._schedule(self._now + self._patience(request, attempt), request.ident, attempt.index)
         else:
             self._passes(attempt, True)
-        self._actions.append(Send(request.ident, server.name, request.answer_by))
+        self._actions.append(Send(request.ident, server.name, request.answer_by, write_by))
         return True
 
     def _may_end_there(self, request: Request, server: Server) -> bool:
@@ -857,13 +861,23 @@
 
     def _may_run_again(self, request: Request) -> bool:
         """Whether the request's class lets another attempt out now."""
-        first_maybe = next((each for each in request.attempts if each.may_have_run), None)
-        if first_maybe is None or request.kind.repeat is Repeat.SAFE:
-            return True
+        by = self._repeat_by(request)
+        return by is None or self._now < by
+
+    def _repeat_by(self, request: Request) -> int | None:
+        """Until when another attempt may begin to run; None: at any time.
+
+        A keyed one before servers forget, counted from the first moment at which an earlier one may have
+        begun: less one tick, since the clock is read once a tick, and less the way there.
+        """
+        first = next((each for each in request.attempts if each.may_have_run), None)
+        if first is None or request.kind.repeat is Repeat.SAFE:
+            return None
         if request.kind.repeat is Repeat.UNSAFE:
-            return False
-        # Keyed: servers forget; one tick less, since the clock is read once a tick.
-        return self._now + self._settings.tick_us < first_maybe.sent_at + request.kind.memory_us
+            return 0
+        memory = request.kind.memory_us
+        way = min(WAY_DIALS * self._settings.limits.dial_timeout_us, WAY_MOST * memory)
+        return first.sent_at + memory - self._settings.tick_us - int(way)
 
     @staticmethod
     def _in_group(request: Request, server: Server) -> bool:
@@ -872,9 +886,8 @@
             return True
         for each in request.attempts:
             if each.may_have_run:
-                if request.kind.group is Group.ZONE:
-                    return each.server.zone == server.zone
-                return each.server.cell == server.cell
+                zone, cell = each.group
+                return zone == server.zone if request.kind.group is Group.ZONE else cell == server.cell
         return True
 
     # -----------------------------------------------------------------------------------------------
--- a/magpiemux/interface.py
+++ b/magpiemux/interface.py
@@ -553,6 +553,7 @@
     request: int
     server: str
     until: int  # clock time at which the attempt is abandoned
+    write_by: int | None = None  # its last byte is written by then or never; None: any time
 
 
 @dataclass(frozen=True, slots=True)
--- a/micadeck/engine/engine.py
+++ b/micadeck/engine/engine.py
@@ -369,7 +369,8 @@
 
         held.out += 1
         held.sent = (action.server, sent_at)
-        held.attempts.append(self._carrier.start(action.server, action.until, held.request, done))
+        attempts = held.attempts
+        attempts.append(self._carrier.start(action.server, action.until, held.request, done, action.write_by))
 
     def _probe(self, server: str) -> None:
         sent_at = self._network.now()
@@ -417,6 +418,10 @@
             return None
         waiter, held.waiter = held.waiter, None
         self._owed.discard(held.request.ident)
+        if held.out:
+            # Guards servers against work for nobody, where calling off what was sent is not permitted.
+            for attempt in held.attempts:
+                self._carrier.withdraw(attempt)
         return waiter
 
     def _forget_if_over(self, request: int) -> None:
--- a/micadeck/engine/ports.py
+++ b/micadeck/engine/ports.py
@@ -73,8 +73,11 @@
     def listed(self, listing: Listing) -> None:
         """Take over a list or its changes, before any action that follows from it."""
 
-    def start(self, server: str, until: int, request: Any, done: Done) -> Any:
-        """Begin an attempt; the result names it to `cancel`."""
+    def start(self, server: str, until: int, request: Any, done: Done, write_by: int | None = None) -> Any:
+        """Begin an attempt; the result names it to `cancel`.
+
+        What has not been written whole at `write_by` is not written at all, and ends unsent.
+        """
 
     def bound(self, attempt: Any, until: int) -> None:
         """Give the attempt up at another time than was said at its start."""
@@ -82,6 +85,9 @@
     def cancel(self, attempt: Any) -> None:
         """Stop waiting.  Nothing is written for it from here on, and what is out has ended on return."""
 
+    def withdraw(self, attempt: Any) -> None:
+        """Nobody waits for it: if it is not written whole yet, it never is, and ends unsent."""
+
     def probe(self, server: str, until: int, done: Done) -> None: ...
 
     def close_idle(self, server: str) -> None: ...
--- a/micadeck/http/upstream.py
+++ b/micadeck/http/upstream.py
@@ -24,7 +24,18 @@
 class Call:
     """One request to one server.  `done` is called exactly once, never from within `start` or `cancel`."""
 
-    __slots__ = ("begin", "connection", "done", "ended", "is_probe", "message", "server", "timer", "until")
+    __slots__ = (
+        "begin",
+        "connection",
+        "done",
+        "ended",
+        "is_probe",
+        "message",
+        "server",
+        "timer",
+        "until",
+        "write_by",
+    )
 
     def __init__(
         self,
@@ -35,17 +46,28 @@
         *,
         is_probe: bool = False,
         begin: Callable[[Response], bool] | None = None,
+        write_by: int | None = None,
     ) -> None:
         self.server = server
         self.until = until
         self.message = message  # given the time left, in microseconds
         self.done = done
         self.is_probe = is_probe
+        self.write_by = write_by  # it is written whole by then, or not at all; None: any time
         self.begin = begin  # takes an answer that is too large to be kept
         self.ended = False
         self.connection: ClientConnection | None = None  # once it is written
         self.timer: Timer | None = None
 
+    @property
+    def is_unwritten(self) -> bool:
+        """Whether a part of it has not left: then no server has begun it."""
+        return self.connection is None or self.connection.is_unwritten
+
+    def may_write(self, now: int) -> bool:
+        """Whether it may be written at this time."""
+        return not self.ended and (self.write_by is None or now < self.write_by)
+
     def begun(self, response: Response) -> bool:
         """An answer that is too large to be kept has begun; say whether anybody takes it."""
         connection = self.connection
@@ -103,22 +125,22 @@
         """Take over a list or its changes, before any action that follows from it."""
         if listing.full:
             for name in self._servers.keys() - {each.listed.server for each in listing.entries}:
-                self._drop(name)
+                self._forget(name)
         for entry in listing.entries:
             name, address = entry.listed.server, entry.address
             if address is None:
-                self._drop(name)
+                self._forget(name)
                 continue
             server = self._servers.get(name)
             if server is None or (server.address, server.started_at) != (address, entry.listed.started_at):
                 # Guards against writing to what was there before under the same id.
-                self._drop(name)
+                self._forget(name)
                 server = self._servers[name] = _Server(address, entry.listed.started_at)
             server.is_leaving = entry.listed.state is not ServerState.READY
             if server.is_leaving:
                 self._close_idle(server)
 
-    def _drop(self, name: str) -> None:
+    def _forget(self, name: str) -> None:
         server = self._servers.pop(name, None)
         if server is not None:
             server.is_leaving = True  # for dials under way
@@ -126,8 +148,10 @@
 
     # Calls
 
-    def start(self, server: str, until: int, request: Incoming, done: Done) -> Call:
-        call = Call(server, until, request.message, done, begin=request.begin)
+    def start(
+        self, server: str, until: int, request: Incoming, done: Done, write_by: int | None = None
+    ) -> Call:
+        call = Call(server, until, request.message, done, begin=request.begin, write_by=write_by)
         self._start(call)
         return call
 
@@ -142,6 +166,8 @@
         if server is None or server.is_leaving or left_us <= 0:
             self._network.call_soon(self._end, call, Outcome.UNSENT)
             return
+        if call.write_by is not None:
+            left_us = min(left_us, max(call.write_by - self._network.now(), 0))
         call.timer = self._network.call_later(left_us / 1e6, self._expire, call)
         connection = self._take(server)
         if connection is not None:
@@ -164,6 +190,14 @@
 
     def cancel(self, call: Call) -> None:
         """Stop waiting; the outcome follows."""
+        self._drop(call, Outcome.CANCELLED)
+
+    def withdraw(self, call: Call) -> None:
+        """Write nothing for it that is not written yet."""
+        if call.is_unwritten:
+            self._drop(call, Outcome.UNSENT)
+
+    def _drop(self, call: Call, outcome: Outcome) -> None:
         if call.ended:
             return
         call.ended = True  # from here on nothing is written for it, also when a dial comes up
@@ -171,7 +205,7 @@
             call.timer.cancel()
         if call.connection is not None:
             call.connection.close()
-        self._network.call_soon(call.done, Outcome.CANCELLED, None, None)
+        self._network.call_soon(call.done, outcome, None, None)
 
     def close_idle(self, name: str) -> None:
         server = self._servers.get(name)
@@ -187,11 +221,16 @@
             connection.close()
 
     def _expire(self, call: Call) -> None:
-        # Still dialling, or not written whole: then it never ran.
-        never_ran = call.connection is None or call.connection.is_unwritten
+        outcome = Outcome.DIAL_FAILED if call.is_unwritten else Outcome.EXPIRED  # unwritten, it never ran
+        left_us = call.until - self._network.now()
+        if call.write_by is not None and left_us > 0:
+            if not call.is_unwritten:
+                call.timer = self._network.call_later(left_us / 1e6, self._expire, call)
+                return
+            outcome = Outcome.UNSENT  # its time to be written is over, which is no fault of the server
         if call.connection is not None:
             call.connection.close()
-        self._end(call, Outcome.DIAL_FAILED if never_ran else Outcome.EXPIRED)
+        self._end(call, outcome)
 
     def _end(self, call: Call, outcome: Outcome, response: Response | None = None) -> None:
         if call.ended:
@@ -247,8 +286,10 @@
             # Guards rule 3: word of its drain came while the dial was under way.
             connection.close()
             self._end(call, Outcome.UNSENT)
-        elif call.ended:
-            self._freed(connection)  # guards against writing what was called off; the connection is good
+        elif not call.may_write(self._network.now()):
+            # Guards against writing what was called off, and rule 2: a repeat that its group has forgotten.
+            self._freed(connection)  # it is good
+            self._end(call, Outcome.UNSENT)
         elif connection.is_usable():
             self._write(call, connection)
         else:
--- a/micadeck/mysql/carrier.py
+++ b/micadeck/mysql/carrier.py
@@ -265,7 +265,10 @@
 
     # Attempts
 
-    def start(self, server: str, until: int, request: StatementRequest, done: Done) -> Call:
+    def start(
+        self, server: str, until: int, request: StatementRequest, done: Done, write_by: int | None = None
+    ) -> Call:
+        assert write_by is None  # no class of statements is keyed
         call = Call(self, server, request, done)
         home = self._servers.get(server)
         left_us = until - self._network.now()
@@ -284,10 +287,17 @@
         """Nothing to do: every statement is whole when it is taken."""
 
     def cancel(self, attempt: Call) -> None:
+        self._give_up(attempt, Outcome.CANCELLED)
+
+    def withdraw(self, attempt: Call) -> None:
+        if not attempt.is_written:
+            self._give_up(attempt, Outcome.UNSENT)
+
+    def _give_up(self, attempt: Call, outcome: Outcome) -> None:
         if attempt.ended:
             return
         self._stop(attempt)
-        self._network.call_soon(attempt.done, Outcome.CANCELLED, None, None)
+        self._network.call_soon(attempt.done, outcome, None, None)
 
     def probe(self, server: str, until: int, done: Done) -> None:
         self._spawn(self._ping(server, until, done))
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -32,6 +32,7 @@
         self.at = 1_000_000_000
         self.attempts: list[tuple[str, Any, Callable[..., None]]] = []
         self.cancelled: list[int] = []
+        self.withdrawn: list[int] = []
         self._timers: list[tuple[int, int, Timer, Callable[..., object], tuple[Any, ...]]] = []
         self._number = itertools.count()
 
@@ -54,14 +55,17 @@
         self.at = until
 
     def start(self, *given: Any) -> int:
-        if len(given) == 4:  # the carrier's; the source's has two
-            server, _, request, done = given
+        if len(given) == 5:  # the carrier's; the source's has two
+            server, _, request, done, _ = given
             self.attempts.append((server, request, done))
         return len(self.attempts) - 1
 
     def cancel(self, attempt: int) -> None:
         self.cancelled.append(attempt)
 
+    def withdraw(self, attempt: int) -> None:
+        self.withdrawn.append(attempt)
+
     def end(self, attempt: int, outcome: Outcome = Outcome.DELIVERED) -> None:
         self.attempts[attempt][2](outcome, "answer" if outcome is Outcome.DELIVERED else None, None)
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -235,13 +235,15 @@
             each.close()
 
 
+@pytest.mark.parametrize("may_cancel", [True, False])
 @pytest.mark.parametrize("why", ["drains", "leaves", "client gone"])
-def test_nothing_is_written_when_a_dial_comes_up_too_late(why: str) -> None:
-    # Guards rule 3 (a drain that is told while the dial is under way) and an attempt that was called off.
+def test_nothing_is_written_when_a_dial_comes_up_too_late(why: str, may_cancel: bool) -> None:
+    # Guards rule 3 (a drain that is told while the dial is under way) and an attempt that was called off;
+    # what is not written yet needs no leave to be called off.
     async def work() -> None:
         slow = SlowToAccept()
         await slow.fill()
-        async with stage(bounds={"dialTimeoutUs": 15_000_000}) as scene:
+        async with stage(bounds={"dialTimeoutUs": 15_000_000, "mayCancel": may_cancel}) as scene:
             await until(lambda: len(scene.discovery.heard) >= 2)
             scene.discovery.tell(line("s", slow.address))
             await until(lambda: len(scene.discovery.heard) >= 3)
@@ -250,7 +252,8 @@
             await until(lambda: at_the_sidecar(scene) == 1)
             if why == "client gone":
                 client.close()
-                await until(lambda: at_the_sidecar(scene) == 0)
+                async with asyncio.timeout(2.0):  # long before the request's own time would end it
+                    await until(lambda: at_the_sidecar(scene) == 0)
             else:
                 scene.discovery.tell(line("s", slow.address, state="leaving" if why == "drains" else "left"))
                 await until(lambda: len(scene.discovery.heard) >= 4)
@@ -266,6 +269,36 @@
     play(work)
 
 
+def test_a_repeat_whose_dial_outlasts_its_servers_memory_is_never_written() -> None:
+    # Guards rule 2: the repeat was decided on in time, and would run after its group forgot the first.
+    async def work() -> None:
+        slow = SlowToAccept()
+        await slow.fill()
+
+        async def drop(heard: Heard) -> None:
+            scene.discovery.tell(line("s", slow.address))
+            await until(lambda: len(scene.discovery.heard) >= 3)
+            heard.writer.close()
+
+        kind = {"name": "amend", "giveUpUs": 8_000_000, "promiseUs": 600_000, "repeat": "idempotency_key"}
+        lanes = [{**kind, "group": "all", "memorySpanUs": 900_000}]
+        async with stage(drop, lanes=lanes, bounds={"dialTimeoutUs": 15_000_000}) as scene:
+            await until(lambda: len(scene.discovery.heard) >= 2)
+            client = await scene.client()
+            client.send(request("amend", timeout="8"))
+            answer = asyncio.ensure_future(client.answer())
+            await until(lambda: len(scene.heard) == 1)
+            await asyncio.wait([answer], timeout=2.0)  # by then nobody remembers the first attempt
+            accepted = await slow.let_go()
+            assert (await answer).status == 503  # refused: its client may come again as a new request
+            scene.sidecar.close()
+            assert await asyncio.get_running_loop().sock_recv(accepted, 1_000) == b""
+            accepted.close()
+        slow.close()
+
+    play(work)
+
+
 def test_no_more_connections_than_there_is_room_for() -> None:
     # Guards against running out of descriptors; what finds no room was not sent, so it is refused.
     async def work() -> None:
