Call a discovery that is silent for good a failure, and ask it no more for one answer

Seen on reading the change again, and by a test that failed: with a discovery that accepts and never answers, an asked watch made one more call each 1.5 s for ever and told the decisions nothing (no failure in 30 s). Cause: Calls.call asked beside as long as any call was out, and each new one was; its docstring said otherwise. The back-off of the decisions, which spares a discovery that is down, was never reached. Ruled out: lists that are pushed, where asking on is wanted and costs nothing.

--- a/micadeck/membership/calls.py
+++ b/micadeck/membership/calls.py
@@ -31,8 +31,8 @@
 class Calls(Generic[L]):
     """Calls one after another, over one connection as long as it answers in time.
 
-    Whatever comes, `call` ends within its patience's `within_s` and that of the calls it made beside it; when
-    it ends, at most one connection is open.
+    Whatever comes, `call` ends once it asks beside no more (`until_s`) and its last call has taken its time;
+    when it ends, at most one connection is open.
     """
 
     def __init__(self, network: Network, address: Address, parse: Callable[[object], L]) -> None:
@@ -56,7 +56,8 @@
     async def call(self, after: int | None, patience: Patience) -> L:
         """The list as it is now, or what changed since `after`; raise CallFailed when nobody tells."""
         self._begin(self._line, after, patience)
-        due = self._network.time() + patience.late_s
+        began = self._network.time()
+        due = began + patience.late_s
         fault = CallFailed("no answer")
         while self._out:
             left_s = max(due - self._network.time(), 0.0)
@@ -73,9 +74,11 @@
                     line.close()
                 self._out.clear()
                 return answers[0].result()
-            if self._out and self._network.time() >= due - _EARLY_S:
-                due = self._network.time() + patience.apart_s
-                self._ask_beside(after, patience)
+            now = self._network.time()
+            if self._out and now >= due - _EARLY_S:
+                due = now + patience.apart_s
+                if now < began + patience.until_s:
+                    self._ask_beside(after, patience)
         raise fault
 
     def _ask_beside(self, after: int | None, patience: Patience) -> None:
--- a/micadeck/membership/vigil.py
+++ b/micadeck/membership/vigil.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import dataclass, replace
 
@@ -38,6 +39,7 @@
     within_s: float  # how long the call may take, all told
     late_s: float  # from here on it is asked anew beside it, on a connection of its own
     apart_s: float  # and again after each further so much
+    until_s: float  # but not from here on: then it fails once all that was asked has failed
     at_once: int  # calls that may be out at a time
     drops_newest: bool  # whether one more takes the newest one's place, or is not made
 
@@ -72,6 +74,8 @@
             within_s=wait_s + _TOLD_LATE_S,
             late_s=wait_s + late_s,
             apart_s=apart_s,
+            # Guards a discovery that is down against being asked on and on: the decisions ask ever rarer.
+            until_s=math.inf if self._is_pushed else TOLD_S,
             at_once=at_once,
             # An agent that was silent is heard soon after it is back.  Where discovery works through calls in
             # turn, the one that waits longest is answered next, and more of them only make the line longer.
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -180,8 +180,8 @@
     """Watches whose calls wait for twenty seconds, as they once did; no drawn day lasts that long."""
 
     def allow(self: Any, allowed_us: int) -> None:
-        self.waiting = vigil.Patience(20_000, 22.0, 22.0, 22.0, 1, False)
-        self.first = vigil.Patience(0, 5.0, 5.0, 5.0, 1, False)
+        self.waiting = vigil.Patience(20_000, 22.0, 22.0, 22.0, 22.0, 1, False)
+        self.first = vigil.Patience(0, 5.0, 5.0, 5.0, 5.0, 1, False)
 
     return mock.patch.object(vigil.Vigil, "allow", allow)
 
--- a/tests/test_vigil.py
+++ b/tests/test_vigil.py
@@ -155,6 +155,22 @@
     assert agent.silent_at is not None and len(agent.calls) < 45
 
 
+def test_a_discovery_that_is_silent_for_good_is_a_failure_and_asked_no_more_for_one_answer() -> None:
+    def then(agent: Agent, roster: Roster) -> None:
+        agent.deaf_until_s = 1e9
+        agent._wire.loop.call_later(
+            0.1, setattr, roster, "_on_failed", lambda: failed.append(loop_time(agent))
+        )
+
+    def loop_time(agent: Agent) -> float:
+        return agent._wire.loop.time()
+
+    failed: list[float] = []
+    agent, _ = watch("while a call waits", 1.0, False, then, length_s=30.0)
+    assert agent.silent_at is not None and len(failed) == 1  # the decisions say when to ask again
+    assert len([at for at, _ in agent.calls if at > agent.silent_at]) == 3
+
+
 def test_a_doubt_asks_for_the_whole_list_and_many_doubts_ask_no_more_than_one() -> None:
     def then(agent: Agent, roster: Roster) -> None:
         for number in range(300):
