--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -355,7 +355,7 @@
 
     def _ask_in(self, wait: float) -> None:
         """Ask after this wait, in place of any earlier plan."""
-        self._ask_due = self._now + int(wait)
+        self._ask_due = self._now + max(int(wait), self._settings.tick_us)  # or it never stops asking
         self._schedule(self._ask_due, _ASK, _WHOLE)
 
     def _ask_again_later(self) -> None:
--- a/micadeck/__main__.py
+++ b/micadeck/__main__.py
@@ -16,7 +16,7 @@
 
 from magpiemux import IS_COMPILED
 from micadeck.config import Config, ConfigError, load
-from micadeck.network import LoopNetwork
+from micadeck.network import LoopNetwork, Network
 from micadeck.operations import Beside
 from micadeck.sidecar import Sidecar
 
@@ -56,14 +56,30 @@
         log(f"reload: the old configuration stays in force: {fault}".replace("\n", " "))
 
 
+def listen_for_the_end(network: Network) -> asyncio.Future[float]:
+    """When SIGTERM or SIGINT first came, on the network's clock; further ones change nothing."""
+    loop = asyncio.get_running_loop()
+    end: asyncio.Future[float] = loop.create_future()
+    came_at: list[float] = []
+
+    def came(number: int, frame: object) -> None:
+        # Between two instructions of whatever runs: a loop that is held up would hear of it too late, and
+        # what is left of the time counts from here.
+        if not came_at:
+            came_at.append(network.time())
+            loop.call_soon_threadsafe(end.set_result, came_at[0])
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, came)
+    return end
+
+
 async def serve(config: Config) -> None:
     """Run until SIGTERM or SIGINT, then drain; SIGHUP reads the configuration anew."""
     network = LoopNetwork()
     log = LineLog(network.time)
-    stop = asyncio.Event()
+    end = listen_for_the_end(network)
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
     loop.set_exception_handler(
         lambda _, what: log(f"internal error: {what['message']}: {what.get('exception')!r}")
     )
@@ -75,9 +91,9 @@
     how = ", decisions compiled" if IS_COMPILED else ""
     log(f"{config.name} serves on {config.listen[0]}:{sidecar.frontend.port}{staff}{how}")
     gc.freeze()  # what is there now stays: collections need not look at it
-    await stop.wait()
+    asked_at = await end
     log("draining")
-    await sidecar.stop()
+    await sidecar.stop(asked_at)
     log("drained")
 
 
--- a/micadeck/http/client.py
+++ b/micadeck/http/client.py
@@ -64,6 +64,7 @@
         self._on_written: Callable[[], None] | None = None  # until the request is written whole
         self._unwritten = False
         self._closed = False
+        self.brought_more = False  # than the answers that were due
 
     # What the owner calls
 
@@ -160,7 +161,8 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         if self._ended is None:
-            self.close()  # nothing was asked
+            self.brought_more = True  # nothing was asked
+            self.close()
             return
         self._read(bytes(_BUFFER[:nbytes]))
 
@@ -250,7 +252,8 @@
             how = Failure.SPOILT  # it can't be the answer to what is not there yet
         # Guards against an answer that belongs to another request: nothing in it names its own, so a
         # connection that brought more than was due, or before all was asked, is never used again.
-        if self._reader.keep_alive and is_written and not self._reader.has_more:
+        self.brought_more = self._reader.has_more
+        if self._reader.keep_alive and is_written and not self.brought_more:
             self._on_free(self)
         else:
             self.close()
--- a/micadeck/http/h1.py
+++ b/micadeck/http/h1.py
@@ -147,7 +147,8 @@
         self._most_body = most_body
         self._make_pipe = make_pipe
         self._part: _Part | None = None
-        self._head_bytes = 0
+        self._head_bytes = 0  # read of the head at hand, but for the read in which it began behind another
+        self._has_ended_one = False  # whether a request ended in the read at hand
         self._parser = httptools.HttpRequestParser(self)
 
     def release(self) -> None:
@@ -162,11 +163,13 @@
     def feed(self, data: bytes) -> None:
         if self.fault is not None:
             return
+        self._has_ended_one = False
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._turn_away(400)
-        if self._part is None or self._part.has_head:
+        if self._part is None or self._part.has_head or self._has_ended_one:
+            # Guards a client that sends many requests ahead: those before this head are no part of it.
             self._head_bytes = 0
         else:
             # Guards against a head that never ends: the parser keeps it all.
@@ -231,6 +234,7 @@
 
     def on_message_complete(self) -> None:
         part, self._part = self._part, None
+        self._has_ended_one = True
         self.awaits_continue = False
         if part is None or self.fault is not None:
             return
--- a/micadeck/http/upstream.py
+++ b/micadeck/http/upstream.py
@@ -16,6 +16,8 @@
 from micadeck.network import Address, Network, Timer
 
 _IDLE_MARGIN = 0.1  # of the idle limit: a connection this near to it may be closed at the far end by now
+_REST_US = 20_000  # before a connection is used again, where second answers were seen
+_WARY_US = 60_000_000  # for so long after the last of them
 _LARGEST_FIGURE = 1e9  # of a load report; what is larger is nonsense
 # What says that this machine, not the server, had no room for a connection.
 _OWN_FAULTS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
@@ -79,7 +81,7 @@
         return self.begin(response)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Idle:
     connection: ClientConnection
     since: int
@@ -88,11 +90,11 @@
 class _Server:
     """Where a server is reached, and the connections to the process that is there now."""
 
-    __slots__ = ("address", "idle", "is_leaving", "started_at")
+    __slots__ = ("address", "idle", "is_leaving", "what")
 
-    def __init__(self, address: Address, started_at: int | None) -> None:
+    def __init__(self, address: Address, what: tuple[object, ...]) -> None:
         self.address = address
-        self.started_at = started_at
+        self.what = what  # it is another one if any of this changes
         self.is_leaving = False
         self.idle: list[_Idle] = []  # the most recently used last
 
@@ -110,6 +112,7 @@
         self._dialling = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._sweep: Timer | None = None
+        self._wary_until = 0  # up to then a connection may bring an answer that belongs to a request before
         self.tries = 0  # attempts written whole; probes are none
 
     def retune(self, settings: Settings) -> None:
@@ -132,10 +135,12 @@
                 self._forget(name)
                 continue
             server = self._servers.get(name)
-            if server is None or (server.address, server.started_at) != (address, entry.listed.started_at):
-                # Guards against writing to what was there before under the same id.
+            what = (address, entry.listed.started_at, entry.listed.zone, entry.listed.cell)
+            if server is None or server.what != what:
+                # Guards against writing to what was there before under the same id, and rule 2: a repeat that
+                # waits for its dial was decided on for the group that the server was in.
                 self._forget(name)
-                server = self._servers[name] = _Server(address, entry.listed.started_at)
+                server = self._servers[name] = _Server(address, what)
             server.is_leaving = entry.listed.state is not ServerState.READY
             if server.is_leaving:
                 self._close_idle(server)
@@ -318,12 +323,18 @@
         return True
 
     def _take(self, server: _Server) -> ClientConnection | None:
-        """The most recently used idle connection that is good, if there is one."""
-        while server.idle:
-            idle = server.idle.pop()
-            if self._network.now() - idle.since < self._use_within_us and idle.connection.is_usable():
+        """The most recently used idle connection that is good, if there is one.
+
+        Guards, where second answers come late, against the next request being served with one: nothing in an
+        answer names its request, but on a connection that has rested since, it lies unread or was seen.
+        """
+        now = self._network.now()
+        rested = now - (_REST_US if now < self._wary_until else 0)
+        for idle in [each for each in reversed(server.idle) if each.since <= rested]:
+            if now - idle.since < self._use_within_us and idle.connection.is_usable():
+                server.idle.remove(idle)
                 return idle.connection
-            idle.connection.close()
+            idle.connection.close()  # and so it is idle no more
         return None
 
     def _freed(self, connection: ClientConnection) -> None:
@@ -346,6 +357,8 @@
             self._sweep = self._network.call_later(self._use_within_us / 4e6, self._close_old)
 
     def _closed(self, connection: ClientConnection) -> None:
+        if connection.brought_more:
+            self._wary_until = self._network.now() + _WARY_US
         server = self._owners.pop(connection, None)
         if server is not None:
             server.idle = [each for each in server.idle if each.connection is not connection]
--- a/micadeck/network/loop.py
+++ b/micadeck/network/loop.py
@@ -15,6 +15,7 @@
 from micadeck.network.port import Address, Apart
 
 _BACKLOG = 1_024
+_ENDS = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # also behind bytes that nobody has read
 _NO_LINGER = struct.pack("ii", 1, 0)  # the last close resets, and drops what is not acknowledged
 
 P = TypeVar("P", bound=asyncio.BaseProtocol)
@@ -41,23 +42,35 @@
 class LoopStream:
     """The socket of an asyncio transport."""
 
-    __slots__ = ("_poll", "_transport")
+    __slots__ = ("_poll", "_socket")
 
     def __init__(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = transport
+        self._socket = transport.get_extra_info("socket")
         self._poll = select.poll()
-        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self._poll.register(self._socket.fileno(), select.POLLIN)
 
     def has_unread(self) -> bool:
         return bool(self._poll.poll(0))
 
+    def has_ended(self) -> bool:
+        self._poll.modify(self._socket.fileno(), _ENDS)
+        ended = bool(self._poll.poll(0))
+        self._poll.modify(self._socket.fileno(), select.POLLIN)
+        return ended
+
+    def end_writing(self) -> None:
+        self._shutdown(socket.SHUT_WR, drops=False)
+
     def shut(self, *, drops: bool) -> None:
+        self._shutdown(socket.SHUT_RDWR, drops=drops)
+
+    def _shutdown(self, how: int, *, drops: bool) -> None:
         try:
             # By a descriptor of its own: the loop's transports lend their sockets only to look at.
-            with socket.socket(fileno=os.dup(self._transport.get_extra_info("socket").fileno())) as own:
+            with socket.socket(fileno=os.dup(self._socket.fileno())) as own:
                 if drops:
                     own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-                own.shutdown(socket.SHUT_RDWR)
+                own.shutdown(how)
         except OSError:
             pass  # the peer was quicker
 
@@ -96,6 +109,10 @@
         self.port = int(self._socket.getsockname()[1])
         loop.add_reader(self._socket.fileno(), self._accept)
 
+    @property
+    def is_accepting(self) -> bool:
+        return bool(self._accepting)
+
     def close(self) -> None:
         if self._socket.fileno() >= 0:
             self._loop.remove_reader(self._socket.fileno())
--- a/micadeck/network/port.py
+++ b/micadeck/network/port.py
@@ -47,6 +47,15 @@
     def has_unread(self) -> bool:
         """Whether bytes, or the peer's end, lie in the socket that the event loop has not read yet."""
 
+    def has_ended(self) -> bool:
+        """Whether the peer has ended its side, or the stream broke, whatever lies unread before that."""
+
+    def end_writing(self) -> None:
+        """End our side before the call returns; for when nothing that was written is still unsent.
+
+        What comes after that can still be read.
+        """
+
     def shut(self, *, drops: bool) -> None:
         """End both directions at once, before the call returns; nothing happens if it has ended.
 
@@ -61,6 +70,10 @@
     @property
     def port(self) -> int: ...
 
+    @property
+    def is_accepting(self) -> bool:
+        """Whether a stream was accepted that its protocol has not heard of yet."""
+
     def close(self) -> None:
         """Accept what has connected by now, and nothing after."""
 
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -54,6 +54,7 @@
 _KILLED_AFTER_S = 0.7  # SIGKILL comes no sooner after SIGTERM than this and the longest deadline
 _LONGEST_DEADLINE_S = 3.0  # as far as that is counted
 _SPARE_S = 0.1  # of that time, kept for writing the last answers
+_FLUSH_S = 0.06  # of that, for clients to take them
 
 
 class Core:
@@ -397,30 +398,41 @@
 
     # The end
 
-    async def stop(self) -> None:
-        """Answer all that was taken and is still coming, then let go of everything."""
+    async def stop(self, asked_at: float | None = None) -> None:
+        """Answer all that was taken and is still coming, then let go of everything.
+
+        `asked_at`: when that was asked for, on the network's clock.  What is unanswered is killed so long
+        after, whenever the event loop came to hear of it.
+        """
         network, engine, frontend = self._network, self._engine, self.frontend
-        began = network.time()
+        began = network.time() if asked_at is None else asked_at
         classes = self._core.config.settings.classes
         longest_s = min(max(each.deadline_us for each in classes) / 1e6, _LONGEST_DEADLINE_S)
-        left_s = longest_s + _KILLED_AFTER_S - _SPARE_S
+        until = began + longest_s + _KILLED_AFTER_S - _SPARE_S
+        left_s = max(until - network.time(), 0.0)
         engine.stop_by(network.now() + int(left_s * 1e6))
         self.life.stop(began)
         self._live_on()
         second = network.spawn(self.mysql.drain(left_s)) if self.mysql is not None else None
-        await network.sleep(_NEW_FOR_S)
+        await network.sleep(max(began + _NEW_FOR_S - network.time(), 0.0))
         while network.time() < frontend.last_opened + _QUIET_S and network.time() < began + _KILLED_AFTER_S:
             await network.sleep(_QUIET_S / 2)
         frontend.stop_listening()
-        await network.sleep(_LOOK_AGAIN_S)  # what was accepted last has its protocol by then
-        while (engine.owed_answers or frontend.open_connections) and network.time() < began + left_s:
+        while self._is_needed() and network.time() < until:
             await network.sleep(_LOOK_AGAIN_S)
         engine.fail_open()
         if second is not None:
             await second
-        await network.sleep(0)
+        frontend.close_all()
+        while frontend.open_connections and network.time() < until + _FLUSH_S:
+            await network.sleep(_LOOK_AGAIN_S)  # until clients have their last answers, and ended their side
         self.close()
 
+    def _is_needed(self) -> bool:
+        """Whether an answer is owed, or a client may still send a request that would be."""
+        frontend = self.frontend
+        return bool(self._engine.owed_answers or frontend.open_connections or frontend.is_accepting)
+
     def close(self) -> None:
         for task in (self._leaving, self._watching):
             if task is not None:
--- a/micadeck/simulation/streams.py
+++ b/micadeck/simulation/streams.py
@@ -312,6 +312,12 @@
     def has_unread(self) -> bool:
         return bool(self.into.unread or self.into.has_end or self.is_shut)
 
+    def has_ended(self) -> bool:
+        return bool(self.into.has_end or self.is_shut)
+
+    def end_writing(self) -> None:
+        self.write_eof()
+
     # What else transports tell
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -155,6 +155,43 @@
         self.hang_up()
 
 
+class SlowToAccept:
+    """A server whose connections come up late: its line for new ones is full until it is let go."""
+
+    def __init__(self) -> None:
+        self.listener = socket.socket()
+        self.listener.bind((HOST, 0))
+        self.listener.listen(0)
+        self.fillers: list[socket.socket] = []
+
+    @property
+    def address(self) -> str:
+        return f"{HOST}:{self.listener.getsockname()[1]}"
+
+    async def fill(self) -> None:
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.listener.getsockname())
+            self.fillers.append(filler)
+        await asyncio.sleep(0.05)
+
+    async def let_go(self) -> socket.socket:
+        """Accept until the sidecar's own connection comes up; give it."""
+        ours = {each.getsockname() for each in self.fillers}
+        self.listener.setblocking(False)
+        loop = asyncio.get_running_loop()
+        while True:
+            accepted, address = await loop.sock_accept(self.listener)
+            if address not in ours:
+                return accepted
+            self.fillers.append(accepted)
+
+    def close(self) -> None:
+        for each in (self.listener, *self.fillers):
+            each.close()
+
+
 class ScriptedDiscovery(ScriptedServer):
     """Answers every call that may wait with silence until `tell`, and others with the list."""
 
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,285 @@
+"""Two things in one instant, forced over loopback: one side is held until the other has happened.
+
+A client here is a plain blocking socket: what it sends lies in the sidecar's socket as the call returns, and
+the event loop, which runs in this thread, has not read it yet.  `docs/design/crossings.md` lists them all.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import struct
+import time
+from collections.abc import Iterator
+
+import pytest
+from loopback import HOST, OK, Heard, SlowToAccept, Stage, line, play, request, soon, stage, until
+
+from micadeck.__main__ import listen_for_the_end
+from micadeck.http.frontend import ClientSide
+from micadeck.network import LoopNetwork
+
+
+@contextlib.contextmanager
+def raw_client(scene: Stage) -> Iterator[socket.socket]:
+    with socket.create_connection((HOST, scene.sidecar.frontend.port)) as client:
+        yield client
+
+
+def reset(client: socket.socket) -> None:
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.close()
+
+
+async def rest_of(client: socket.socket) -> bytes:
+    """What the client still gets up to an orderly end; raise ConnectionResetError if that does not come."""
+    client.setblocking(False)
+    came = b""
+    while data := await soon(asyncio.get_running_loop().sock_recv(client, 65_536)):
+        came += data
+    return came
+
+
+async def at_rest(scene: Stage, client: socket.socket) -> ClientSide:
+    """The sidecar's side of a client that has had one answer."""
+    client.sendall(request())
+    client.setblocking(False)
+    assert (await soon(asyncio.get_running_loop().sock_recv(client, 65_536))).startswith(b"HTTP/1.1 200")
+    client.setblocking(True)
+    (side,) = scene.sidecar.frontend.connections()
+    assert isinstance(side, ClientSide) and side.is_idle
+    return side
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+@pytest.mark.parametrize("how", ["ends", "resets"])
+@pytest.mark.parametrize("behind", [0, 1, 400])
+def test_a_client_that_sent_much_ahead_and_left_is_noticed_before_anything_is_sent_on(
+    behind: int, how: str, may_cancel: bool
+) -> None:
+    # Its end lies behind what it sent ahead, of which nothing is due yet.
+    async def work() -> None:
+        slow = SlowToAccept()
+        await slow.fill()
+        async with stage(bounds={"dialTimeoutUs": 15_000_000, "mayCancel": may_cancel}) as scene:
+            await until(lambda: len(scene.discovery.heard) >= 2)
+            scene.discovery.tell(line("s", slow.address))
+            await until(lambda: len(scene.discovery.heard) >= 3)
+            with raw_client(scene) as client:
+                client.sendall(b"".join(request("lodge", timeout="4") for _ in range(1 + behind)))
+                await until(lambda: scene.sidecar.open_requests == 1)
+                reset(client) if how == "resets" else client.close()
+                async with asyncio.timeout(1.5):  # its own time would end it only after 4 s
+                    await until(lambda: scene.sidecar.open_requests == 0)
+            assert scene.sidecar.frontend.open_connections == 0
+            accepted = await slow.let_go()
+            scene.sidecar.close()
+            assert await asyncio.get_running_loop().sock_recv(accepted, 1_000) == b""
+            accepted.close()
+        slow.close()
+
+    play(work)
+
+
+def test_a_client_that_sends_ahead_and_stays_has_all_its_answers() -> None:
+    async def work() -> None:
+        async with stage(OK) as scene:
+            with raw_client(scene) as client:
+                client.sendall(b"".join(request("lodge") for _ in range(400)))
+                client.setblocking(False)
+                came = b""
+                while came.count(b"HTTP/1.1 200") < 400 or not came.endswith(b"served"):
+                    came += await soon(asyncio.get_running_loop().sock_recv(client, 65_536))
+            assert len(scene.heard) == 400
+
+    play(work)
+
+
+def test_a_request_that_comes_as_its_connection_is_closed_is_never_sent_on_and_nothing_is_reset() -> None:
+    async def work() -> None:
+        async with stage(OK) as scene:
+            with raw_client(scene) as client:
+                side = await at_rest(scene, client)
+                client.sendall(request("lodge"))  # after the look, before the close
+                side.close()
+                assert await rest_of(client) == b""
+            await until(lambda: scene.sidecar.frontend.open_connections == 0)
+            assert len(scene.heard) == 1
+
+    play(work)
+
+
+@pytest.mark.parametrize("behind", [b"", b"GET /api/7f", request("lodge")], ids=["", "half", "whole"])
+def test_the_last_answer_comes_whole_whatever_the_client_sends_in_that_instant(behind: bytes) -> None:
+    async def work() -> None:
+        async with stage(None) as scene:
+            with raw_client(scene) as client:
+                client.sendall(request("lodge"))
+                await until(lambda: len(scene.heard) == 1)
+                scene.sidecar.frontend.is_draining = True
+                client.sendall(behind)
+                scene.sidecar._engine.fail_open()  # its answer is written, and then its connection closed
+                answer = await rest_of(client)
+            assert answer.startswith(b"HTTP/1.1 504") and b"connection: close" in answer
+            await until(lambda: scene.sidecar.frontend.open_connections == 0)
+            assert len(scene.heard) == 1
+
+    play(work)
+
+
+def test_a_long_last_answer_to_a_slow_reader_is_not_cut_off_by_the_close() -> None:
+    async def work() -> None:
+        body = b"x" * (64 << 10)
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        async with stage(answer) as scene:
+            with socket.socket() as client:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+                client.connect((HOST, scene.sidecar.frontend.port))
+                scene.sidecar.frontend.is_draining = True
+                client.sendall(request("lodge"))
+                await until(lambda: any(not each.is_idle for each in scene.sidecar.frontend.connections()))
+                await until(lambda: scene.sidecar.open_requests == 0)
+                await asyncio.sleep(0.8)  # it takes nothing for longer than a client is waited for otherwise
+                assert (await rest_of(client)).endswith(body)
+
+    play(work)
+
+
+def test_an_answer_that_is_passed_on_as_the_time_ends_is_cut_off_and_not_taken_for_whole() -> None:
+    async def work() -> None:
+        faults: list[dict[str, object]] = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, what: faults.append(what))
+        body = b"x" * (8 << 20)
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        async with stage(answer) as scene:
+            with socket.socket() as client:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+                client.connect((HOST, scene.sidecar.frontend.port))
+                client.sendall(request("lodge"))
+                await until(lambda: scene.sidecar.open_requests == 1)
+                (side,) = scene.sidecar.frontend.connections()
+                await until(lambda: side.has_unsent)
+                await soon(scene.sidecar.stop(loop.time() - 100.0))
+                came = 0
+                with contextlib.suppress(ConnectionResetError):
+                    came = len(await rest_of(client))
+            assert came < len(body)
+            await asyncio.sleep(0.05)
+            # The scripted servers' own tasks are cut off with their connections; nothing else may go wrong.
+            assert [each for each in faults if "StreamReaderProtocol" not in str(each)] == []
+
+    play(work)
+
+
+def test_a_client_that_never_ends_its_side_is_cut_off_soon_after_ours_ended() -> None:
+    async def work() -> None:
+        async with stage(OK) as scene:
+            with raw_client(scene) as client:
+                (await at_rest(scene, client)).close()
+                assert await rest_of(client) == b""
+                async with asyncio.timeout(3.0):
+                    await until(lambda: scene.sidecar.frontend.open_connections == 0)
+
+    play(work)
+
+
+def test_who_connects_as_the_listener_closes_is_answered() -> None:
+    async def work() -> None:
+        async with stage(OK) as scene:
+            frontend, clients = scene.sidecar.frontend, []
+            stop_listening = frontend.stop_listening
+
+            def connect_then_stop() -> None:
+                frontend.stop_listening = stop_listening
+                for _ in range(40):  # more than are accepted at once
+                    clients.append(socket.create_connection((HOST, frontend.port)))
+                    clients[-1].sendall(request("lodge"))
+                stop_listening()
+
+            frontend.stop_listening = connect_then_stop
+            await soon(scene.sidecar.stop())
+            for client in clients:
+                assert (await rest_of(client)).startswith(b"HTTP/1.1 200")
+                client.close()
+
+    play(work)
+
+
+@pytest.mark.parametrize("held_up_s", [0.0, 1.0])
+def test_what_is_open_is_answered_in_the_time_that_runs_from_the_signal(held_up_s: float) -> None:
+    # Guards against a kill that comes before the last answers: the event loop heard of the signal late.
+    async def work() -> None:
+        kind = {"name": "lodge", "giveUpUs": 1_500_000, "promiseUs": 1_200_000, "repeat": "non_idempotent"}
+        async with stage(None, lanes=[kind]) as scene:
+            with raw_client(scene) as client:
+                client.sendall(request("lodge", timeout="1.5"))
+                await until(lambda: len(scene.heard) == 1)
+                loop = asyncio.get_running_loop()
+                asked_at = loop.time() - held_up_s
+                stopping = asyncio.ensure_future(scene.sidecar.stop(asked_at))
+                answer = await rest_of(client)
+                took = loop.time() - asked_at
+                client.close()
+                await stopping
+            assert answer.startswith(b"HTTP/1.1 504")
+            assert took < 1.5 + 0.7
+
+    play(work)
+
+
+def test_the_time_of_a_signal_is_that_of_the_signal_also_while_the_event_loop_is_held_up() -> None:
+    async def work() -> None:
+        network = LoopNetwork()
+        before = {number: signal.getsignal(number) for number in (signal.SIGTERM, signal.SIGINT)}
+        try:
+            end = listen_for_the_end(network)
+            until_s = time.monotonic() + 0.4
+            sent_at = network.time()
+            os.kill(os.getpid(), signal.SIGTERM)
+            while time.monotonic() < until_s:
+                pass  # the loop turns only after this
+            os.kill(os.getpid(), signal.SIGTERM)
+            assert await soon(end) - sent_at < 0.2
+        finally:
+            for number, handler in before.items():
+                signal.signal(number, handler)
+
+    play(work)
+
+
+def test_a_request_on_every_connection_that_stays_open_is_answered_up_to_the_end() -> None:
+    async def work() -> None:
+        async def answer(heard: Heard) -> bytes:
+            return OK
+
+        async with stage(answer) as scene:
+            stopping = asyncio.ensure_future(scene.sidecar.stop())
+            lost: list[object] = []
+            asked = 0
+
+            async def ask_on() -> None:
+                """On one connection after the other, as long as anybody listens."""
+                nonlocal asked
+                while not stopping.done():
+                    try:
+                        client = await scene.client()
+                    except OSError:
+                        return
+                    client.send(request("lodge"))
+                    asked += 1
+                    try:
+                        if (await client.answer()).status != 200:
+                            lost.append("not served")
+                    except (OSError, EOFError) as fault:
+                        lost.append(fault)
+                    client.close()
+
+            await asyncio.gather(*(ask_on() for _ in range(8)))
+            await soon(stopping)
+            assert asked > 20 and lost == []
+
+    play(work)
--- /dev/null
+++ b/tests/test_extremes.py
@@ -0,0 +1,75 @@
+"""Settings of any customer: limits of 0, absent or very large, odd names, no zones, no reports."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from loopback import OK, play, stage, until
+
+from micadeck.config import ConfigError
+
+LARGEST = 2**53
+KIND = {"giveUpUs": 3_000_000, "promiseUs": 750_000}
+CLASSES = [
+    {**KIND, "name": "check", "repeat": "read_like"},
+    {**KIND, "name": "amend", "repeat": "idempotency_key", "group": "zone", "memorySpanUs": 300_000},
+    {**KIND, "name": "lodge", "repeat": "non_idempotent"},
+]
+FIGURES = [0, 1, LARGEST]
+BOUNDS = ("sendCap", "maxOpen", "dialTimeoutUs", "idleCloseUs", "maxRetryAfterUs", "cpuUsPerS")
+RULES = ("drainGraceUs", "coldUs", "fallUs", "askWithinUs", "answerSlackUs", "letGoInUs")
+
+
+def serves(**settings: Any) -> None:
+    """A sidecar with these settings answers each request, whatever the answer is, and lives on."""
+
+    async def work() -> None:
+        async with stage(OK, **{"lanes": CLASSES, **settings}) as scene:
+            for kind in ("check", "amend", "lodge") * 2:
+                assert (await scene.ask(kind, timeout="0.5")).status in (200, 503, 504)
+            scene.servers[0].hang_up()
+            assert (await scene.ask("check", timeout="0.5")).status in (200, 503, 504)
+            await until(lambda: scene.sidecar.open_requests == 0)
+            assert not [each for each in scene.log if "internal error" in each]
+
+    play(work)
+
+
+@pytest.mark.parametrize("figure", FIGURES)
+@pytest.mark.parametrize("key", BOUNDS)
+def test_a_limit_of_any_size_is_served_by(key: str, figure: int) -> None:
+    if (key, figure) == ("sendCap", 0):
+        with pytest.raises(ConfigError, match=r"settings\.limits\.max_attempts: at least 1"):
+            serves(bounds={key: figure})
+    else:
+        serves(bounds={key: figure})
+
+
+@pytest.mark.parametrize("figure", [1, LARGEST])
+@pytest.mark.parametrize("key", RULES)
+def test_a_rule_s_figure_of_any_size_is_served_by(key: str, figure: int) -> None:
+    serves(guarantees={key: figure})
+
+
+@pytest.mark.parametrize("discovery", ["pushed", "on_request"])
+@pytest.mark.parametrize(
+    "settings",
+    [
+        {"zone": ""},
+        {"zone": "nowhere"},
+        {"quantumUs": LARGEST},
+        {"report": {}},
+        {"bounds": {"mayCancel": False, "sendCap": 1}},
+        {"prices": {"crossZone": 1e6, "waste": 1e6}},
+        {"lanes": [{**each, "giveUpUs": LARGEST, "promiseUs": LARGEST} for each in CLASSES]},
+        {"lanes": [{**each, "giveUpUs": 1, "promiseUs": 1} for each in CLASSES]},
+        {"lanes": [{**each, "giveUpUs": 30_000_000 // 300**n} for n, each in enumerate(CLASSES)]},
+        {"lanes": [{**each, "worth": 0} for each in CLASSES]},
+        {"lanes": [*CLASSES, {**KIND, "name": " odd/näme:\u2603\x00,\"'", "repeat": "read_like"}]},
+        {"lanes": [{**each, "memorySpanUs": 0} for each in CLASSES]},
+    ],
+    ids=str,
+)
+def test_settings_unlike_any_other_s_are_served_by(settings: dict[str, Any], discovery: str) -> None:
+    serves(discovery=discovery, **settings)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -122,6 +122,30 @@
     return [ListedServer(name, zone="east", cell=index % 2) for index, name in enumerate(names(8))]
 
 
+def test_a_group_is_that_of_the_attempt_whatever_a_list_says_of_its_server_later() -> None:
+    stage = Stage()
+    stage.servers([ListedServer("first", zone="east", cell=1)])
+    request = stage.request("amend", remaining_us=3 * S)
+    assert stage.target(request) == "first"
+    # Its server moves, and only servers of the cell that it moved to are there.
+    stage.servers([ListedServer(each, zone="east", cell=2) for each in ("first", "second", "third")])
+    stage.end(request, Outcome.DROPPED)
+    assert len(stage.sends(request)) == 1
+
+
+def test_a_repeat_says_until_when_it_may_be_written_and_a_first_attempt_may_be_at_any_time() -> None:
+    stage = Stage(settings(limits={"dial_timeout_us": 250 * MS}))
+    stage.servers([ListedServer(each, zone="east", cell=1) for each in names(3)])
+    request = stage.request("amend", remaining_us=4 * S)
+    begun = stage.now
+    stage.wait(100 * MS)
+    stage.end(request, Outcome.DROPPED)
+    first, second = (send for _, send in stage.sends(request))
+    assert first.write_by is None
+    assert second.write_by == begun + 2 * S - 5 * MS - 50 * MS  # a tick, and the way there
+    assert all(each.write_by is None for _, each in stage.sends(stage.request("look")))
+
+
 def test_a_keyed_request_that_may_have_run_stays_in_its_cell() -> None:
     for seed in range(20):
         stage = Stage(seed=seed)
