Keep an asked watch whatever servers show, and ask again by the 6 s that count as told

Discovery answers one such call in 0.17 s and refuses what it can't reach in 3 s: 503, waits of 0.5 to 2.5 s, 503 again.

Ruled out: silent watches (none of these calls was silent), late reading (a list was heard 1 ms after it came), the repeat rules. At fault: Roster._renew with Vigil.doubted, Calls._ask_beside for a call in line, and the waits of Balancer._ask_again_later and Calls.call, which went by the time allowed for asking, not by the clock of 6 s.

Change: a doubt asks nothing where discovery is one for all. Beside a call that may stand in discovery's line the whole list is asked for, which is no watch, after 3.2 s. A failed call is made again within 1 s, and one without an answer has failed after 6 s. interface.TOLD_US is the one clock; vigil.py's head adds the states up.

--- a/magpiemux/balancer.py
+++ b/magpiemux/balancer.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field
 
 from magpiemux.interface import (
+    TOLD_US,
     Action,
     AnswerStarted,
     AttemptEnded,
@@ -58,8 +59,9 @@
 COLD_SHARE = 0.25  # part of the pushing-over load that a cold server's budget fills at
 COLD_BURST = 0.18  # part of that load that may come at once
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
-ASK_AGAIN = 0.05  # first wait before asking discovery again, of the time allowed without asking
+ASK_AGAIN = 0.02  # first wait before asking discovery again, of the time allowed without asking
 ASK_AGAIN_MOST = 0.25  # and the longest: three failed calls in a row still fit
+ASK_AGAIN_TOLD = 1 / 6  # nor longer than this part of the time in which all that discovery has counts as told
 REMOTE_LEAST = 0.25  # odds of a server in another zone while the own zone is as quick
 REMOTE_EVEN = 0.3  # the own zone this far behind the others' pace, all zones are drawn alike
 REMOTE_SPENT = 0.12  # or the typical answer at twice this part of its aim
@@ -359,9 +361,13 @@
         self._schedule(self._ask_due, _ASK, _WHOLE)
 
     def _ask_again_later(self) -> None:
-        """After a failed call: wait twice as long each time, with jitter, so that instances spread out."""
+        """After a failed call: wait twice as long each time, with jitter, so that instances spread out.
+
+        Guards against a wait that outlasts an outage: a change counts as told however the calls fared.
+        """
         allowed = self._settings.rules.ask_within_us
-        wait = min(ASK_AGAIN * allowed * 2**self._failed_calls, ASK_AGAIN_MOST * allowed)
+        most = min(ASK_AGAIN_MOST * allowed, ASK_AGAIN_TOLD * TOLD_US)
+        wait = min(ASK_AGAIN * allowed * 2**self._failed_calls, most)
         self._failed_calls = min(self._failed_calls + 1, 8)
         self._ask_in(wait * (0.5 + 0.5 * self._random.random()))
 
--- a/micadeck/membership/calls.py
+++ b/micadeck/membership/calls.py
@@ -1,7 +1,11 @@
 """Calls to the roster: each gets one answer, by whichever of its connections brings one first.
 
-A connection that fell silent can't be told from one without news until its answer is late.  Then the same is
-asked on a fresh connection beside it, so that neither is lost if it was only slow; `vigil` says when.
+A connection that fell silent can't be told from one without news until its answer is late.  Then it is asked
+on a fresh connection beside it, so that neither is lost if it was only slow; `vigil` says when.
+
+Where discovery works through calls in turn, one that begins a watch may stand in its line.  Asking beside it
+for the same watch again would be a second place for the same, and where the line is full both are refused:
+so the whole list is asked for beside it, which is no watch, and what that brings is told meanwhile.
 """
 
 from __future__ import annotations
@@ -13,12 +17,11 @@
 
 from micadeck.http.client import ClientConnection, Failure
 from micadeck.http.h1 import Request, Response
-from micadeck.membership.vigil import Patience
+from micadeck.membership.vigil import DIAL_WITHIN_S, Patience
 from micadeck.network import Address, Network
 
 _PATH = "/catalog/members"
 _MOST_BYTES = 4 << 20  # of a whole list
-_DIAL_WITHIN_S = 1.0
 _EARLY_S = 0.001  # how much a timer may fire early
 
 L = TypeVar("L")
@@ -31,8 +34,7 @@
 class Calls(Generic[L]):
     """Calls one after another, over one connection as long as it answers in time.
 
-    Whatever comes, `call` ends once it asks beside no more (`until_s`) and its last call has taken its time;
-    when it ends, at most one connection is open.
+    Whatever comes, `call` ends by `until_s`; when it ends, at most one connection is open.
     """
 
     def __init__(self, network: Network, address: Address, parse: Callable[[object], L]) -> None:
@@ -47,40 +49,50 @@
         return _Line(self._network, self._address, self._parse)
 
     def close(self) -> None:
-        for task, line in self._out.items():
-            task.cancel()
-            line.close()
-        self._out.clear()
+        self._drop_all()
         self._line.close()
 
-    async def call(self, after: int | None, patience: Patience) -> L:
-        """The list as it is now, or what changed since `after`; raise CallFailed when nobody tells."""
+    async def call(self, after: int | None, patience: Patience, told: Callable[[L], None]) -> tuple[L, bool]:
+        """The list as it is now, or what changed since `after`, and whether that was an answer of the watch.
+
+        `told` takes what came of the whole list while a call of the watch is still out.  Raise CallFailed
+        when nobody tells.
+        """
         self._begin(self._line, after, patience)
         began = self._network.time()
         due = began + patience.late_s
+        in_line = patience.in_line  # whether a call of the watch may wait for its turn
         fault = CallFailed("no answer")
         while self._out:
             left_s = max(due - self._network.time(), 0.0)
             ended, _ = await asyncio.wait(self._out, timeout=left_s, return_when=asyncio.FIRST_COMPLETED)
-            answers = [each for each in ended if each.exception() is None]
-            for each in ended:
-                if not answers or each is not answers[0]:
-                    self._out.pop(each).close()
+            for each in [each for each in self._out if each in ended]:
+                line = self._out.pop(each)
+                if each.exception() is not None:
+                    line.close()
                     fault = CallFailed(str(each.exception()))
-            if answers:
-                self._line = self._out.pop(answers[0])
-                for task, line in self._out.items():
-                    task.cancel()
+                elif line.is_watch or not any(other.is_watch for other in self._out.values()):
+                    self._line = line
+                    self._drop_all()
+                    return each.result(), line.is_watch
+                else:
                     line.close()
-                self._out.clear()
-                return answers[0].result()
+                    told(each.result())
             now = self._network.time()
-            if self._out and now >= due - _EARLY_S:
-                due = now + patience.apart_s
-                if now < began + patience.until_s:
-                    self._ask_beside(after, patience)
+            if now >= began + patience.until_s - _EARLY_S:
+                self._drop_all()
+            elif self._out and now >= due - _EARLY_S:
+                due = min(now + patience.apart_s, began + patience.until_s)
+                self._ask_beside(None if in_line else after, patience)
+                in_line = not patience.drops_newest
         raise fault
 
+    def _drop_all(self) -> None:
+        for task, line in self._out.items():
+            task.cancel()
+            line.close()
+        self._out.clear()
+
     def _ask_beside(self, after: int | None, patience: Patience) -> None:
         if len(self._out) >= patience.at_once:
             if not patience.drops_newest:
@@ -92,6 +104,7 @@
 
     def _begin(self, line: _Line[L], after: int | None, patience: Patience) -> None:
         work = line.call(after, patience.wait_ms, patience.within_s)
+        line.is_watch = after is not None
         self._out[self._network.spawn(work)] = line
 
 
@@ -103,6 +116,7 @@
         self._address = address
         self._parse = parse
         self._connection: ClientConnection | None = None
+        self.is_watch = False  # whether its call is one of the watch, not for the whole list
 
     def close(self) -> None:
         if self._connection is not None:
@@ -140,7 +154,7 @@
         def made() -> ClientConnection:
             return ClientConnection(self._network, _MOST_BYTES, _ignore, _ignore, stall_s)
 
-        async with self._network.timeout(_DIAL_WITHIN_S):
+        async with self._network.timeout(DIAL_WITHIN_S):
             return await self._network.dial(made, self._address)
 
 
--- a/micadeck/membership/roster.py
+++ b/micadeck/membership/roster.py
@@ -198,7 +198,7 @@
     async def _fetch(self) -> None:
         calls, changes = self._calls(), self._changes
         try:
-            listing = await calls.call(None, self._vigil.first)
+            listing, _ = await calls.call(None, self._vigil.first, _ignore)
         except CallFailed:
             self._on_failed()
         else:
@@ -228,14 +228,20 @@
         try:
             while True:
                 changes = self._changes
-                listing = await calls.call(None if self._wants_whole else self._version, patience)
+                after = None if self._wants_whole else self._version
+
+                def told(listing: Listing, changes: int = changes) -> None:
+                    self._heard(listing, changes)
+
+                listing, goes_on = await calls.call(after, patience, told)
                 self._wants_whole = False
                 brought_news = listing.version != self._version
                 self._vigil.confirmed(self._network.now(), brought_news=brought_news)
                 if listing.full or listing.entries or not self._watch_answered:
                     self._watch_answered = True
                     self._heard(listing, changes)
-                patience = self._vigil.waiting
+                is_up = goes_on and patience.wait_ms > 0
+                patience = self._vigil.waiting if is_up else self._vigil.second
         finally:
             calls.close()
 
--- a/micadeck/membership/sources.py
+++ b/micadeck/membership/sources.py
@@ -19,6 +19,7 @@
 from micadeck.membership.consul.config import ConsulConfig, Service
 from micadeck.membership.merge import TO_THE_LETTER, Caution, Merge, Sighting, sighting_of
 from micadeck.membership.roster import Roster
+from micadeck.membership.vigil import AGAIN_S
 from micadeck.network import Address, Network, Timer
 
 # Sources beside the services; no service's name has a space.
@@ -26,7 +27,9 @@
 KNOWN = "the list before the restart"
 _AT_ONCE = 64  # servers that are told in one slice
 _TICK_S = 1.0  # for what time alone changes: hours of lending, silence, flapping that ended
-_AGAIN_S, _AGAIN_MOST_S = 0.2, 2.0  # before a failed call of the roster is made again
+_AGAIN_S = (
+    0.2  # before a failed call of the roster is made again; twice as long each time, to the vigil's most
+)
 
 _CAUTIONS = {ServerState.READY: Caution.READY, ServerState.DRAINING: Caution.DRAINS}
 
@@ -213,7 +216,7 @@
     def _roster_failed(self) -> None:
         self._on_failed()
         if self._retry is None:
-            wait_s = min(_AGAIN_S * 2**self._roster_failures, _AGAIN_MOST_S)
+            wait_s = min(_AGAIN_S * 2**self._roster_failures, AGAIN_S)
             self._roster_failures = min(self._roster_failures + 1, 8)
             self._retry = self._network.call_later(
                 wait_s * (0.5 + 0.5 * self._chance.random()), self._roster_again
--- a/micadeck/membership/vigil.py
+++ b/micadeck/membership/vigil.py
@@ -4,9 +4,22 @@
 for a short while only, so that an answer, be it an empty one, is due by then.  And what the servers show,
 such as a dial turned down where the list has one, speaks against a list that nothing confirmed since.
 
-One clock rules all of it: what a silent watch misses counts as told `TOLD_S` after the silence began, or
-`_TOLD_LATE_S` after the wait of its call is over, if that is later.  So wait, lateness and two further calls,
-the first of them lost, end within `TOLD_S`, however long the settings allow for asking.
+Where discovery is one service for all, only the first of the two is heeded: servers turn all sidecars down
+together, and if each gave up its watch to ask anew, most would stand in one line and none would be told.
+
+One clock rules all of it: what discovery has and could be reached for counts as told `TOLD_S` after,
+whatever became of the calls.  So, asked, in each state a fresh call is out or begun within `GAP_S`:
+
+    state                                        the next fresh call is begun within
+    no call yet, moved by SIGHUP                 0
+    failed and waiting                           AGAIN_S, the longest wait of the decisions
+    dialling a host that is not there            DIAL_WITHIN_S + AGAIN_S
+    a first call out, silent                     _FIRST_LATE_S
+    a watch up, silent                           its wait and _LATE_S
+    more calls out, all silent                   _APART_S, or to the end of them all and AGAIN_S
+
+and `GAP_S`, one more call that is lost (`_APART_S`) and an answer of `ANSWER_S` end within `TOLD_S`.  Where
+lists are pushed, a fresh call is begun each `_APART_PUSHED_S` as long as none was answered.
 """
 
 from __future__ import annotations
@@ -15,16 +28,23 @@
 import random
 from dataclasses import dataclass, replace
 
-TOLD_S = 6.0
+from magpiemux.balancer import ASK_AGAIN_TOLD
+from magpiemux.interface import TOLD_US
+
+TOLD_S = TOLD_US / 1e6
+AGAIN_S = ASK_AGAIN_TOLD * TOLD_S  # the longest wait after a failed call
+DIAL_WITHIN_S = 1.0
+GAP_S = 3.2
+ANSWER_S = 1.5
 _TOLD_LATE_S = 2.0
 _WAIT = 0.2  # how long a call waits for news, of the time allowed without asking
 _WAIT_LEAST_S, _WAIT_MOST_S = 0.5, 2.0
 _WAIT_PUSHED_S = 1.0  # of an agent on this machine, which answers at no cost
 _LATE_S, _LATE_PUSHED_S = 0.5, 0.3  # how much later than its wait an answer may come: discovery may be busy
-_FIRST_LATE_S = 2.5  # and that of a call with which a watch begins, as many may at once
-_APART_S, _APART_PUSHED_S = 1.5, 0.25  # from one call for a late answer to the next
+_FIRST_LATE_S = GAP_S  # and that of a call that begins a watch: many may at once, and stand in line
+_APART_S, _APART_PUSHED_S = 1.2, 0.25  # from one call for a late answer to the next
 _ANSWER_WITHIN_S = 5.0  # a call that waits for nothing
-_AT_ONCE, _AT_ONCE_PUSHED = 3, 4  # calls that may be out for one answer
+_AT_ONCE = 4  # calls that may be out for one answer
 _SPREAD = 0.25  # of the wait: sidecars that are turned down together must not all ask together
 _DOUBTS_APART = (
     0.25  # of the wait: the least from one doubt's call to the next, doubled while they bring nothing
@@ -39,14 +59,16 @@
     within_s: float  # how long the call may take, all told
     late_s: float  # from here on it is asked anew beside it, on a connection of its own
     apart_s: float  # and again after each further so much
-    until_s: float  # but not from here on: then it fails once all that was asked has failed
+    until_s: float  # but from here on it has failed, whatever is out
     at_once: int  # calls that may be out at a time
     drops_newest: bool  # whether one more takes the newest one's place, or is not made
+    in_line: bool = False  # whether it may wait for its turn at discovery, as one that begins a watch does
 
     def again(self) -> Patience:
         """Of a call that is answered at once: one with which a watch begins, or beside one that is late."""
-        late_s = self.apart_s if self.drops_newest else _FIRST_LATE_S
-        return replace(self, wait_ms=0, within_s=_ANSWER_WITHIN_S, late_s=late_s)
+        if self.drops_newest:
+            return replace(self, wait_ms=0, within_s=_ANSWER_WITHIN_S, late_s=self.apart_s)
+        return replace(self, wait_ms=0, late_s=_FIRST_LATE_S, in_line=True)
 
 
 class Vigil:
@@ -65,18 +87,18 @@
     def allow(self, allowed_us: int) -> None:
         """Go by this time from the next call on."""
         wait_s = min(max(_WAIT * allowed_us / 1e6, _WAIT_LEAST_S), _WAIT_MOST_S)
-        late_s, apart_s, at_once = _LATE_S, _APART_S, _AT_ONCE
+        late_s, apart_s = _LATE_S, _APART_S
         if self._is_pushed:
             wait_s = min(wait_s, _WAIT_PUSHED_S)
-            late_s, apart_s, at_once = _LATE_PUSHED_S, _APART_PUSHED_S, _AT_ONCE_PUSHED
+            late_s, apart_s = _LATE_PUSHED_S, _APART_PUSHED_S
         self.waiting = Patience(
             wait_ms=round(wait_s * 1e3),
-            within_s=wait_s + _TOLD_LATE_S,
+            within_s=wait_s + _TOLD_LATE_S if self._is_pushed else TOLD_S,
             late_s=wait_s + late_s,
             apart_s=apart_s,
-            # Guards a discovery that is down against being asked on and on: the decisions ask ever rarer.
+            # Guards against calls that are all lost and hold the place of the one that would be answered.
             until_s=math.inf if self._is_pushed else TOLD_S,
-            at_once=at_once,
+            at_once=_AT_ONCE,
             # An agent that was silent is heard soon after it is back.  Where discovery works through calls in
             # turn, the one that waits longest is answered next, and more of them only make the line longer.
             drops_newest=self._is_pushed,
@@ -84,6 +106,10 @@
         """Of a call of the watch that waits for news."""
         self.first = self.waiting.again()
         """Of the one with which a watch begins."""
+        self.second = self.waiting
+        """Of the one after it, with which it may only begin in truth."""
+        if not self._is_pushed:
+            self.second = replace(self.waiting, late_s=max(self.waiting.late_s, _FIRST_LATE_S), in_line=True)
 
     def confirmed(self, now: int, *, brought_news: bool) -> None:
         """An answer of the watch came: until then its list was discovery's own."""
@@ -92,8 +118,12 @@
             self._in_vain = 0
 
     def doubted(self, now: int) -> int | None:
-        """Something speaks against the list; say when to ask `is_due`, or None if that is planned already."""
-        if self._doubted_at is not None:
+        """Something speaks against the list; say when to ask `is_due`, or None if nothing is to be planned.
+
+        Nothing is where discovery is one for all: guards against all sidecars giving up at once the watches
+        that would have told them, for places in one line.  A silent watch's answer is late soon.
+        """
+        if self._doubted_at is not None or not self._is_pushed:
             return None
         self._doubted_at = now
         wait_us = self.waiting.wait_ms * 1_000
--- /dev/null
+++ b/tests/test_told.py
@@ -0,0 +1,98 @@
+"""What discovery has, and could be reached for, is heard before it counts as told: whatever the calls met."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from told_stage import SERVERS, TOLD_S, Follower, Kind, Line, Roll, most_a_second, run
+
+from micadeck.simulation.wire import Wire
+
+OUTAGES_S = [number / 2 for number in range(61)]  # 0 to 30 s
+OWN_S = 0.1  # the way, and what the program itself needs
+
+
+@pytest.mark.parametrize("kind", list(Kind))
+@pytest.mark.parametrize(
+    ("pushed", "allowed_s"),
+    [(False, 0.5), (False, 10.0), (False, 60.0), (True, 10.0)],
+    ids=["asked, half a second", "asked, ten", "asked, a minute", "pushed"],
+)
+def test_a_change_is_heard_in_time_after_an_outage_of_any_length_and_kind(
+    kind: Kind, pushed: bool, allowed_s: float
+) -> None:
+    late = []
+    for number, outage_s in enumerate(OUTAGES_S):
+        drawn = random.Random(number)
+        began = drawn.choice([0.0, 0.05, drawn.uniform(0.1, 6.0)])  # at the start, or under any call
+        back = began + max(outage_s, 0.001)  # not the same instant: those come in any order
+        changes = [drawn.uniform(began, back), back, back + drawn.uniform(0.0, 4.0)]
+
+        def then(
+            wire: Wire,
+            discovery: Roll,
+            followers: list[Follower],
+            began: float = began,
+            back: float = back,
+            changes: list[float] = changes,
+        ) -> None:
+            hosts = [each.host.name for each in followers]
+            wire.loop.call_later(began, discovery.begin, hosts)
+            wire.loop.call_later(back, discovery.end, hosts)
+            for name, at in zip(SERVERS, changes, strict=False):
+                wire.loop.call_later(at, discovery.put, name, "10.1.0.1:80", "leaving")
+
+        _, (one,) = run(
+            lambda wire: Roll(wire, kind),
+            then,
+            length_s=back + 12.0,
+            pushed=pushed,
+            allowed_s=allowed_s,
+            seed=number,
+        )
+        for name, at in zip(SERVERS, changes, strict=False):
+            over = one.heard.get(name, 1e9) - max(at, back)
+            if over > TOLD_S - OWN_S:
+                late.append((outage_s, round(began, 2), name, round(over, 2)))
+    assert late == []
+
+
+def test_doubts_of_all_sidecars_at_once_cost_none_of_them_its_watch() -> None:
+    # A release replaces servers before discovery says so: dials are turned down everywhere at once.
+    def then(wire: Wire, discovery: Roll, followers: list[Follower]) -> None:
+        for each in followers:
+            for name in SERVERS[:4]:
+                wire.loop.call_later(
+                    20.0 + wire.drawn.random(), each.host.context.copy().run, each.roster.doubt
+                )
+                wire.loop.call_at(21.5, discovery.put, name, "10.1.0.1:80", "leaving")
+
+    discovery, followers = run(lambda wire: Line(wire, 6.0), then, length_s=32.0, sidecars=32, allowed_s=10.0)
+    heard = [each.heard.get(name, 1e9) for each in followers for name in SERVERS[:4]]
+    assert max(heard) - 21.5 < 0.5  # by their watches, not by a place in line
+    assert [target for at, target in discovery.calls if at > 20.0 and "after" not in target] == []
+    assert most_a_second(discovery, 20.0) <= 2 * len(followers)
+
+
+@pytest.mark.parametrize(("sidecars", "per_s"), [(32, 6.4), (200, 40.0), (32, 3.0), (200, 20.0)])
+def test_a_fleet_that_must_begin_anew_gets_its_turns_and_asks_no_more_than_it_has_to(
+    sidecars: int, per_s: float
+) -> None:
+    # Discovery refuses what it can't reach in 3 s: a place in its line that is lost is a turn lost.
+    down, back = 12.0, 20.0
+
+    def then(wire: Wire, discovery: Roll, followers: list[Follower]) -> None:
+        wire.loop.call_later(down, discovery.begin, [])
+        wire.loop.call_later(back, discovery.end, [])
+        wire.loop.call_later(back - 1.0, discovery.put, SERVERS[0], "10.1.0.1:80", "leaving")
+
+    discovery, followers = run(
+        lambda wire: Line(wire, per_s), then, length_s=45.0, sidecars=sidecars, allowed_s=10.0
+    )
+    heard = max(each.heard.get(SERVERS[0], 1e9) - back for each in followers)
+    least = sidecars / per_s
+    assert heard < (TOLD_S - OWN_S if least < TOLD_S - 1.0 else 1.25 * least)
+    calls = [at for at, _ in discovery.calls if back <= at < back + 8.0]
+    assert len(calls) < 8 * len(followers)
+    assert most_a_second(discovery) <= 3 * len(followers)
