--- a/tests/test_cold_tier.py
+++ b/tests/test_cold_tier.py
@@ -29,7 +29,7 @@
 @pytest.mark.parametrize("sidecars", [30, 230])
 def test_a_tier_that_sends_more_than_its_part_is_found(sidecars: int) -> None:
     # Servers that start are drawn as if they were warm, whatever is learnt of their pace.
-    blind = {
+    blind: dict[str, Any] = {
         "_is_cold": lambda self, server: False,
         "_overloaded_for": lambda self, kind, tenant: False,
         "_pace": lambda self, server, request, elapsed_us: None,
