--- a/micadeck/membership/roster.py
+++ b/micadeck/membership/roster.py
@@ -15,7 +15,6 @@
 from micadeck.network import Address, Network, Timer, parse_address
 
 _STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
-_PUSHED_AGAIN_S = 0.2  # where lists are pushed nobody asks again: a broken watch is taken up after this
 _MOST_CALLS = 8  # at once; more fail unasked
 
 
@@ -86,6 +85,7 @@
         pushed: bool,
         *,
         allowed_us: int = 10_000_000,
+        grace_us: int = 1_000_000,
         seed: int | str = 0,
         log: Callable[[str], None] | None = None,
     ) -> None:
@@ -93,7 +93,7 @@
         self._address = address
         self._version = version
         self._pushed = pushed
-        self._vigil = Vigil(allowed_us, random.Random(seed), is_pushed=pushed)
+        self._vigil = Vigil(allowed_us, random.Random(seed), is_pushed=pushed, grace_us=grace_us)
         self._log = log
         self._told_nonsense = False  # since the last list that could be read
         self._renewal: Timer | None = None
@@ -131,9 +131,9 @@
             self._watch_answered = False
             self._watch = self._spawn(self._follow())
 
-    def allow(self, allowed_us: int) -> None:
-        """Go by another time that the settings allow without asking."""
-        self._vigil.allow(allowed_us)
+    def allow(self, allowed_us: int, grace_us: int) -> None:
+        """Go by other times that the settings allow: without asking, and after word of a drain."""
+        self._vigil.allow(allowed_us, grace_us)
 
     def doubt(self) -> None:
         """Something speaks against the list: the watch is begun anew, unless it confirms the list by then."""
@@ -224,7 +224,7 @@
             try:
                 await self._watch_on()
             except CallFailed:
-                await self._network.sleep(_PUSHED_AGAIN_S)
+                await self._network.sleep(self._vigil.waiting.apart_s)  # nobody else asks again
 
     async def _watch_on(self) -> None:
         """Watch until a call fails.  The first call waits for nothing, so that it is answered soon."""
--- a/micadeck/membership/vigil.py
+++ b/micadeck/membership/vigil.py
@@ -19,7 +19,8 @@
     more calls out, all silent                   _APART_S, or to the end of them all and AGAIN_S
 
 and `GAP_S`, one more call that is lost (`_APART_S`) and an answer of `ANSWER_S` end within `TOLD_S`.  Where
-lists are pushed, a fresh call is begun each `_APART_PUSHED_S` as long as none was answered.
+lists are pushed, what the agent has counts as told at once when it is back: a fresh call is begun within a
+part of the drain's grace as long as none was answered.
 """
 
 from __future__ import annotations
@@ -42,7 +43,9 @@
 _WAIT_PUSHED_S = 1.0  # of an agent on this machine, which answers at no cost
 _LATE_S, _LATE_PUSHED_S = 0.5, 0.3  # how much later than its wait an answer may come: discovery may be busy
 _FIRST_LATE_S = GAP_S  # and that of a call that begins a watch: many may at once, and stand in line
-_APART_S, _APART_PUSHED_S = 1.2, 0.25  # from one call for a late answer to the next
+_APART_S = 1.2  # from one call for a late answer to the next
+_APART_PUSHED = 0.4  # of the grace, so that what an agent has when it is back is heard in it
+_APART_PUSHED_LEAST_S, _APART_PUSHED_MOST_S = 0.1, 0.25
 _ANSWER_WITHIN_S = 5.0  # a call that waits for nothing
 _AT_ONCE = 4  # calls that may be out for one answer
 _SPREAD = 0.25  # of the wait: sidecars that are turned down together must not all ask together
@@ -74,23 +77,32 @@
 class Vigil:
     """One watch, from call to call.  Times are whole microseconds of any one clock."""
 
-    def __init__(self, allowed_us: int, chance: random.Random, *, is_pushed: bool = False) -> None:
-        """`allowed_us`: how long the settings let a sidecar go on without having asked."""
+    def __init__(
+        self,
+        allowed_us: int,
+        chance: random.Random,
+        *,
+        is_pushed: bool = False,
+        grace_us: int = 1_000_000,
+    ) -> None:
+        """By the settings: how long a sidecar may go on without having asked, and for how long after word of
+        a drain it may send."""
         self._chance = chance
         self._is_pushed = is_pushed
-        self.allow(allowed_us)
+        self.allow(allowed_us, grace_us)
         self._confirmed_at: int | None = None
         self._doubted_at: int | None = None  # when, as long as a renewal is planned for it
         self._renewed_at: int | None = None  # the last renewal for a doubt
         self._in_vain = 0  # renewals in a row that brought nothing
 
-    def allow(self, allowed_us: int) -> None:
-        """Go by this time from the next call on."""
+    def allow(self, allowed_us: int, grace_us: int) -> None:
+        """Go by these times from the next call on."""
         wait_s = min(max(_WAIT * allowed_us / 1e6, _WAIT_LEAST_S), _WAIT_MOST_S)
         late_s, apart_s = _LATE_S, _APART_S
         if self._is_pushed:
             wait_s = min(wait_s, _WAIT_PUSHED_S)
-            late_s, apart_s = _LATE_PUSHED_S, _APART_PUSHED_S
+            late_s = _LATE_PUSHED_S
+            apart_s = min(max(_APART_PUSHED * grace_us / 1e6, _APART_PUSHED_LEAST_S), _APART_PUSHED_MOST_S)
         self.waiting = Patience(
             wait_ms=round(wait_s * 1e3),
             within_s=wait_s + _TOLD_LATE_S if self._is_pushed else TOLD_S,
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -82,6 +82,7 @@
                 config.known.version,
                 is_pushed,
                 allowed_us=settings.rules.ask_within_us,
+                grace_us=settings.rules.drain_grace_us,
                 seed=f"{config.seed} {config.name}",
                 log=log,
             )
@@ -175,7 +176,7 @@
         self.config = replace(self.config, settings=settings)
         self.upstream.retune(settings)
         if self.roster is not None:
-            self.roster.allow(settings.rules.ask_within_us)
+            self.roster.allow(settings.rules.ask_within_us, settings.rules.drain_grace_us)
         self.engine.retune(settings)
 
     def reload(self, config: Config, announce: Callable[[Settings], object] | None = None) -> None:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -179,8 +179,9 @@
 def waits_long() -> contextlib.AbstractContextManager[Any]:
     """Watches whose calls wait for twenty seconds, as they once did; no drawn day lasts that long."""
 
-    def allow(self: Any, allowed_us: int) -> None:
+    def allow(self: Any, allowed_us: int, grace_us: int) -> None:
         self.waiting = vigil.Patience(20_000, 22.0, 22.0, 22.0, 22.0, 1, False)
+        self.second = self.waiting
         self.first = vigil.Patience(0, 5.0, 5.0, 5.0, 5.0, 1, False)
 
     return mock.patch.object(vigil.Vigil, "allow", allow)
--- /dev/null
+++ b/tests/test_ready.py
@@ -0,0 +1,108 @@
+"""Processes that start together in the worst moment: ready in time, and they hear what leaves once told."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+from loopback import HOST, OK, Heard, ScriptedDiscovery, ScriptedServer, line, play, request
+from test_program import GOOD, ROOT
+
+AT_ONCE = 8
+IDLE = 120  # clients that connect and say nothing: more than there are descriptors
+READY_S = 10.0
+TOLD_S = 6.0
+
+
+class Gated(ScriptedDiscovery):
+    """Answers nothing that was asked before it was opened, then or later."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_open = False
+
+    async def _answer(self, heard: Heard) -> bytes:
+        if not self.is_open:
+            await asyncio.Event().wait()
+        return await super()._answer(heard)
+
+
+async def started(config: Path) -> tuple[asyncio.subprocess.Process, int]:
+    env = {**os.environ, "BALANCER_CONFIG": str(config)}
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "micadeck", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE
+    )
+    assert process.stderr is not None
+    text = (await process.stderr.readline()).decode()
+    return process, int(text.split(" serves on ")[1].split(",")[0].strip().rpartition(":")[2])
+
+
+async def status(port: int, raw: bytes) -> bytes:
+    """The first line of an answer; empty if the connection was shut unread."""
+    reader, writer = await asyncio.open_connection(HOST, port)
+    try:
+        writer.write(raw)
+        return await reader.readline()
+    except ConnectionError:
+        return b""
+    finally:
+        writer.close()
+
+
+def test_processes_that_start_at_once_with_discovery_silent_and_descriptors_taken(tmp_path: Path) -> None:
+    async def one(number: int, config: dict[str, Any], opened: asyncio.Event) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        path = tmp_path / f"config-{number}.json"
+        path.write_text(json.dumps(config))
+        process, port = await started(path)
+        idle = [await asyncio.open_connection(HOST, port) for _ in range(IDLE)]
+        path.write_text(json.dumps(config))  # the same, and to be read anew
+        process.send_signal(signal.SIGHUP)
+        health = b"GET /_health HTTP/1.1\r\nHost: o\r\n\r\n"
+        while not (await status(port, health)).startswith(b"HTTP/1.1 200"):
+            await asyncio.sleep(0.05)
+        assert loop.time() - began < READY_S
+        assert (await status(port, request())).startswith(b"HTTP/1.1 200")  # by the list it was given
+        ready.append(number)
+        await opened.wait()
+        since = loop.time()
+        while (await status(port, request())).startswith(b"HTTP/1.1 200"):
+            await asyncio.sleep(0.05)
+        assert loop.time() - since < TOLD_S
+        for _, writer in idle:
+            writer.close()
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+
+    ready: list[int] = []
+
+    async def work() -> None:
+        server = await ScriptedServer(OK).start()
+        discovery = Gated()
+        await discovery.start()
+        config = {
+            **GOOD,
+            "discovery": discovery.address,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 64},
+            "known": {"version": 1, "full": True, "servers": [line("s-1", server.address)]},
+        }
+        opened = asyncio.Event()
+        async with asyncio.TaskGroup() as group:
+            for number in range(AT_ONCE):
+                group.create_task(one(number, {**config, "name": f"n{number}"}, opened))
+            while len(ready) < AT_ONCE:
+                await asyncio.sleep(0.05)
+            discovery.version += 1
+            discovery.servers = [line("s-1", server.address, state="leaving")]
+            discovery.is_open = True
+            opened.set()
+        server.stop()
+        discovery.stop()
+
+    play(work)
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -58,6 +58,40 @@
     assert late == []
 
 
+@pytest.mark.parametrize(
+    "kind", [each for each in Kind if each is not Kind.CUT]
+)  # an agent is on this machine
+@pytest.mark.parametrize("grace_s", [0.2, 0.25, 0.5, 1.0])
+def test_what_an_agent_has_when_it_is_back_is_heard_in_the_grace(kind: Kind, grace_s: float) -> None:
+    late = []
+    for number in range(40):
+        drawn = random.Random(number)
+        began, outage_s = drawn.uniform(0.1, 3.0), drawn.uniform(2.0, 10.0)
+        back = began + outage_s
+
+        def then(
+            wire: Wire, discovery: Roll, followers: list[Follower], began: float = began, back: float = back
+        ) -> None:
+            hosts = [each.host.name for each in followers]
+            wire.loop.call_later(began, discovery.begin, hosts)
+            wire.loop.call_later(back, discovery.end, hosts)
+            wire.loop.call_later(back - 0.01, discovery.put, SERVERS[0], "10.1.0.1:80", "leaving")
+
+        discovery, (one,) = run(
+            lambda wire: Roll(wire, kind),
+            then,
+            length_s=back + 3.0,
+            pushed=True,
+            grace_s=grace_s,
+            seed=number,
+        )
+        over = one.heard.get(SERVERS[0], 1e9) - back
+        if over > 0.8 * grace_s:
+            late.append((round(began, 2), round(back, 2), round(over, 3)))
+        assert most_a_second(discovery) <= 12  # while nobody answers
+    assert late == []
+
+
 @pytest.mark.parametrize("kind", list(Kind))
 @pytest.mark.parametrize("pushed", [False, True], ids=["asked", "pushed"])
 def test_after_a_move_the_new_discovery_is_heard_at_once_whatever_became_of_the_old_one(
--- a/tests/test_vigil.py
+++ b/tests/test_vigil.py
@@ -259,7 +259,7 @@
     # Silent for good, then a renewal that is lost, then one more: it has a second and a half for its answer.
     assert waiting.late_s + waiting.apart_s <= TOLD_S - 1.5
     assert first.wait_ms == 0 and first.late_s + first.apart_s <= TOLD_S - 1.5
-    vigil.allow(10 * S)
+    vigil.allow(10 * S, S)
     assert vigil.waiting.wait_ms == (1_000 if pushed else 2_000)
 
 
--- a/tests/told_stage.py
+++ b/tests/told_stage.py
@@ -191,11 +191,19 @@
 class Follower:
     """One sidecar, as far as lists go."""
 
-    def __init__(self, wire: Wire, number: int, discovery: Discovery, allowed_s: float, pushed: bool) -> None:
+    def __init__(
+        self,
+        wire: Wire,
+        number: int,
+        discovery: Discovery,
+        allowed_s: float,
+        pushed: bool,
+        grace_s: float = 0.5,
+    ) -> None:
         self.loop = wire.loop
         self.host = Host(f"sidecar-{number}")
         self.network = VirtualNetwork(wire.machine(self.host, f"10.0.{number // 250}.{number % 250 + 1}"))
-        rules = {"ask_within_us": int(allowed_s * S)}
+        rules = {"ask_within_us": int(allowed_s * S), "drain_grace_us": int(grace_s * S)}
         given = settings(rules=rules, discovery="pushed" if pushed else "on_request")
         self.roster = Roster(
             self.network,
@@ -203,6 +211,7 @@
             0,
             pushed,
             allowed_us=given.rules.ask_within_us,
+            grace_us=given.rules.drain_grace_us,
             seed=f"{number}",
         )
         nobody: Any = NoServers()
@@ -229,6 +238,7 @@
     sidecars: int = 1,
     allowed_s: float = 10.0,
     pushed: bool = False,
+    grace_s: float = 0.5,
     seed: int = 1,
 ) -> tuple[Roll, list[Follower]]:
     """Play a discovery and its followers; `then` plans what happens."""
@@ -237,7 +247,7 @@
     discovery = make(wire)
     for number, name in enumerate(SERVERS):
         discovery.put(name, f"10.1.0.{number + 1}:80")
-    followers = [Follower(wire, number, discovery, allowed_s, pushed) for number in range(sidecars)]
+    followers = [Follower(wire, number, discovery, allowed_s, pushed, grace_s) for number in range(sidecars)]
 
     async def work() -> None:
         discovery.up()
