Leave a watch alone that the decisions began before the sources' own retry

Seen by reading, then by a test: beside Consul a failed call of the roster is made again both by the decisions and by Sources._roster_again; whichever came second called Roster.follow on a watch that had its first answer, which cancels it and begins anew: two more calls, and a place in discovery's line (4 calls in place of 2 in test_doubts::test_a_watch_that_the_decisions_began, without the mend). The retry looks whether a watch is up now.

Where askWithinUs is short, an unanswered call failed 6 s after its begin though its last call beside it was 2.6 s old; vigil._until counts from the last one. test_vigil adds the states of the table at its head up, for each patience.

make check whole: 2,370 and 129 passed, alone on the machine.

--- a/micadeck/membership/roster.py
+++ b/micadeck/membership/roster.py
@@ -113,6 +113,11 @@
         if self._pushed:
             self._watch = self._spawn(self._hear_pushed())
 
+    @property
+    def is_watching(self) -> bool:
+        """Whether a watch is up, or being begun."""
+        return self._watch is not None and not self._watch.done()
+
     def follow(self, wanted: bool) -> None:
         """Watch the list from now on, or no longer.
 
@@ -122,7 +127,7 @@
         if self._pushed:
             return
         self._is_followed = wanted
-        if self._watch is not None and not self._watch.done():
+        if self._watch is not None and self.is_watching:
             if wanted and not self._watch_answered:
                 return
             self._watch.cancel()
--- a/micadeck/membership/sources.py
+++ b/micadeck/membership/sources.py
@@ -224,7 +224,8 @@
 
     def _roster_again(self) -> None:
         self._retry = None
-        if self._roster is not None:
+        # The decisions may have asked meanwhile: guards against giving up the watch that came of it.
+        if self._roster is not None and not self._roster.is_watching:
             self._roster.follow(True)
 
     # Consul
--- a/micadeck/membership/vigil.py
+++ b/micadeck/membership/vigil.py
@@ -71,7 +71,12 @@
         """Of a call that is answered at once: one with which a watch begins, or beside one that is late."""
         if self.drops_newest:
             return replace(self, wait_ms=0, within_s=_ANSWER_WITHIN_S, late_s=self.apart_s)
-        return replace(self, wait_ms=0, late_s=_FIRST_LATE_S, in_line=True)
+        return replace(self, wait_ms=0, late_s=_FIRST_LATE_S, until_s=_until(_FIRST_LATE_S), in_line=True)
+
+
+def _until(late_s: float) -> float:
+    """Where discovery is asked: when all is given up that was asked since, the last a while before."""
+    return min(late_s + (_AT_ONCE - 1) * _APART_S, TOLD_S)
 
 
 class Vigil:
@@ -109,7 +114,7 @@
             late_s=wait_s + late_s,
             apart_s=apart_s,
             # Guards against calls that are all lost and hold the place of the one that would be answered.
-            until_s=math.inf if self._is_pushed else TOLD_S,
+            until_s=math.inf if self._is_pushed else _until(wait_s + late_s),
             at_once=_AT_ONCE,
             # An agent that was silent is heard soon after it is back.  Where discovery works through calls in
             # turn, the one that waits longest is answered next, and more of them only make the line longer.
@@ -121,7 +126,7 @@
         self.second = self.waiting
         """Of the one after it, with which it may only begin in truth."""
         if not self._is_pushed:
-            self.second = replace(self.waiting, late_s=max(self.waiting.late_s, _FIRST_LATE_S), in_line=True)
+            self.second = replace(self.first, wait_ms=self.waiting.wait_ms)
 
     def confirmed(self, now: int, *, brought_news: bool) -> None:
         """An answer of the watch came: until then its list was discovery's own."""
--- a/tests/test_doubts.py
+++ b/tests/test_doubts.py
@@ -57,6 +57,39 @@
     play(work)
 
 
+def test_a_watch_that_the_decisions_began_is_not_given_up_for_the_sources_own_retry() -> None:
+    async def work() -> None:
+        server = ScriptedDiscovery()
+        server.servers = [line("s-1", "127.0.0.2:80")]
+        await server.start()
+        network, nobody = LoopNetwork(), parse_address("127.0.0.1:9")
+        roster = Roster(network, nobody, 1, False)
+        services = (Service("tariff", Ask(), Names(), Trust()),)
+        config = ConsulConfig((nobody,), services, 1.0, 0.0)
+        sources = Sources(
+            network, roster, Listing(1, True, ()), config, 1, "n", lambda text: None, greets=False
+        )
+        heard: list[Listing] = []
+        failed: list[None] = []
+        sources.start(heard.append, lambda: failed.append(None))
+        sources.follow(True)
+        await until(
+            lambda: len(failed) == 1
+        )  # nobody is there: from here on the sources' own retry is planned
+        roster._address = parse_address(server.address)
+        sources.follow(True)  # and the decisions were first
+        await until(lambda: len(server.heard) == 2)  # the first call, and the watch that waits
+        retry = sources._retry
+        assert retry is not None
+        await until(lambda: sources._retry is None)
+        await asyncio.sleep(0.05)
+        assert len(server.heard) == 2 and server.closed == []
+        sources.close()
+        server.stop()
+
+    play(work)
+
+
 def test_a_fetch_that_is_ahead_of_the_watch_makes_the_watch_doubted() -> None:
     async def work() -> None:
         server = ScriptedDiscovery()
--- a/tests/test_vigil.py
+++ b/tests/test_vigil.py
@@ -15,7 +15,7 @@
 
 from micadeck.engine import Listing
 from micadeck.membership.roster import Roster
-from micadeck.membership.vigil import Vigil
+from micadeck.membership.vigil import AGAIN_S, ANSWER_S, DIAL_WITHIN_S, GAP_S, Vigil
 from micadeck.simulation.loop import Host, VirtualLoop
 from micadeck.simulation.network import VirtualNetwork
 from micadeck.simulation.roster import Discovery
@@ -257,8 +257,17 @@
     waiting, first = vigil.waiting, vigil.first
     assert (waiting.wait_ms, waiting.late_s) == (wait_ms, late_s)
     # Silent for good, then a renewal that is lost, then one more: it has a second and a half for its answer.
-    assert waiting.late_s + waiting.apart_s <= TOLD_S - 1.5
-    assert first.wait_ms == 0 and first.late_s + first.apart_s <= TOLD_S - 1.5
+    assert ANSWER_S >= 1.5 and max(waiting.late_s, first.late_s) <= GAP_S
+    assert waiting.late_s + waiting.apart_s <= TOLD_S - ANSWER_S
+    assert first.wait_ms == 0 and first.late_s + first.apart_s <= TOLD_S - ANSWER_S
+    assert (
+        AGAIN_S + DIAL_WITHIN_S + ANSWER_S <= TOLD_S - ANSWER_S
+    )  # a host that is not there, then one more dial
+    for each in (waiting, first, vigil.second):  # all out and silent, then the decisions' wait
+        last_s = max(each.late_s + n * each.apart_s for n in range(3))
+        assert (
+            pushed or min(each.until_s, last_s + each.apart_s) + AGAIN_S - min(last_s, each.until_s) <= GAP_S
+        )
     vigil.allow(10 * S, S)
     assert vigil.waiting.wait_ms == (1_000 if pushed else 2_000)
 
