--- a/micadeck/daemon.py
+++ b/micadeck/daemon.py
@@ -12,11 +12,16 @@
 
 from magpiemux import IS_COMPILED
 from micadeck.config import Config, ConfigError, load
+from micadeck.memory.resident import MB, anonymous_bytes
 from micadeck.network import LoopNetwork
 from micadeck.operations import Beside
 from micadeck.sidecar import Sidecar
 from micadeck.signals import ProcessSignals
 
+EXIT_TOLD = 0
+EXIT_NO_START = 1
+EXIT_BAD_CONFIGURATION = 2
+_LEAST_FOR_REQUESTS_MB = 2  # beside what the idle process takes
 _LINES_PER_S = 20.0
 _LINES_AT_ONCE = 200.0
 
@@ -86,17 +91,30 @@
     signals.ignore()
 
 
+def check_memory(config: Config) -> None:
+    """Raise ConfigError where the idle process takes more than the limit that it is given."""
+    taken_mb = -(-anonymous_bytes() // MB)
+    if taken_mb > config.memory_mb:
+        raise ConfigError(
+            f"limits.memory_mb: {config.memory_mb} is less than the {taken_mb} MB of the idle process"
+            f"; at least {taken_mb + _LEAST_FOR_REQUESTS_MB} are needed"
+        )
+
+
 def run(signals: ProcessSignals) -> int:
     """Load the configuration and serve; give the exit code."""
     try:
         config = load(os.environ)
+        check_memory(config)
     except ConfigError as fault:
         print(f"micadeck: config: {fault}".replace("\n", " "), file=sys.stderr)
-        return 2
+        return EXIT_BAD_CONFIGURATION
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve(config, signals))
     except OSError as fault:
         print(f"micadeck: can't listen: {fault}", file=sys.stderr)
-        return 1
-    return 0
+        return EXIT_NO_START
+    by = signals.ended_by.name if signals.ended_by is not None else "nobody"
+    print(f"ended: code {EXIT_TOLD}, told by {by}", file=sys.stderr, flush=True)
+    return EXIT_TOLD
--- a/micadeck/mysql/auth.py
+++ b/micadeck/mysql/auth.py
@@ -188,8 +188,8 @@
 class Users:
     """Who may log in, and what was learnt of their passwords since the start.
 
-    The key pair is made here, before anybody can connect: it takes 0.04 to 0.3 s on an idle core, and an event
-    loop that made it at the first log-in would hold up every statement and every dial for so long.
+    The key pair is made here, before anybody can connect: it takes 0.04 to 0.3 s on an idle core, and an
+    event loop that made it at the first log-in would hold up every statement and every dial for so long.
     """
 
     def __init__(self, users: Mapping[str, User], key: KeyPair | None = None) -> None:
--- a/micadeck/signals.py
+++ b/micadeck/signals.py
@@ -21,6 +21,7 @@
 
     def __init__(self) -> None:
         self.ended_at: float | None = None  # when the end was first asked for, on the monotonic clock
+        self.ended_by: signal.Signals | None = None
         self._reload_asked = False
         self._tell: Callable[[Callable[[], object]], object] | None = None
         self._on_end: Callable[[], object] = _nothing
@@ -59,6 +60,7 @@
         if self.ended_at is not None:
             return
         self.ended_at = time.monotonic()
+        self.ended_by = signal.Signals(number)
         if self._tell is not None:
             self._tell(self._on_end)
 
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -15,7 +15,7 @@
 
 # From the ground up: a module imports from its own layer and those before it, of the package's own.
 LAYERS = [
-    ("micadeck.network", "micadeck.keys", "micadeck.errors", "micadeck.signals"),
+    ("micadeck.network", "micadeck.keys", "micadeck.errors", "micadeck.signals", "micadeck.memory"),
     ("micadeck.engine",),
     ("micadeck.operations",),
     ("micadeck.http",),
