--- /dev/null
+++ b/micadeck/standins/hostile/__init__.py
@@ -0,0 +1,9 @@
+"""Peers that send too much: clients, servers and a discovery, against a real daemon whose memory is watched.
+
+`loads` is the table of what they do, `peers` does it, `stage` runs the daemon beside it and reads its memory.
+"""
+
+from micadeck.standins.hostile.loads import LOADS, Load, Side
+from micadeck.standins.hostile.stage import Played, play
+
+__all__ = ["LOADS", "Load", "Played", "Side", "play"]
--- /dev/null
+++ b/tests/failing_start.py
@@ -0,0 +1,41 @@
+"""The program, one call of whose start fails for a while: `python failing_start.py CALL ERRNO SECONDS`."""
+
+from __future__ import annotations
+
+import os
+import socket
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+import uvloop
+
+from micadeck.__main__ import main
+
+CALLS = {
+    "socket": (socket.socket, "__init__"),
+    "bind": (socket.socket, "bind"),
+    "listen": (socket.socket, "listen"),
+    "setsockopt": (socket.socket, "setsockopt"),
+    "getsockname": (socket.socket, "getsockname"),
+    "loop": (uvloop, "new_event_loop"),  # its epoll descriptor and its own pipes
+}
+
+
+def fail(call: str, number: int, until: float) -> None:
+    """Make a call fail with this errno up to a time of the monotonic clock."""
+    owner, name = CALLS[call]
+    real: Callable[..., Any] = getattr(owner, name)
+
+    def failing(*given: Any, **named: Any) -> Any:
+        if time.monotonic() < until:
+            raise OSError(number, os.strerror(number))
+        return real(*given, **named)
+
+    setattr(owner, name, failing)
+
+
+if __name__ == "__main__":
+    fail(sys.argv[1], int(sys.argv[2]), time.monotonic() + float(sys.argv[3]))
+    sys.exit(main())
