Bound heads, trailers, chunk extensions and the values of a list while they come

Seen: 473 to 528 MB of a limit of 80 by answers whose heads have no end, 595 MB by a list with such a head, 123 MB by one endless trailer, 228 MB by requests of 3,800 headers of four bytes, 92 MB by a list of a million empty entries. Ruled out by the same rig on the build before: bodies, chunks of one byte, 1xx ahead, second answers, targets (15 to 21 MB). At fault: ResponseReader.feed, which counted nothing of a head; RequestReader.feed, which counted a head in bytes and nothing behind it; Roster._read, which read whatever fitted in 4 MiB.

Change: framing.py counts, for both directions and so for clients, servers, probes, discovery and Consul, the bytes read in a row that brought no byte of a body, no message and no end (16 KiB), and the headers and trailers of one message (100). A request gets 431, an answer is spoilt, a list is an error. A list with more than 160,000 values is counted before it is read. The library holds to the same number of headers.

--- a/micadeck/http/h1.py
+++ b/micadeck/http/h1.py
@@ -13,11 +13,11 @@
 
 import httptools
 
+from micadeck.http.framing import MOST_HEADERS, FramingCount, TooManyHeaders
 from micadeck.http.pipe import Pipe
 
 Headers = list[tuple[bytes, bytes]]
 
-MOST_HEAD = 16 << 10
 MOST_BODY = 33 << 20  # of a request, and of a server's answer
 MOST_KEPT = 64 << 10  # of it, that is kept whole; a larger one is passed on while it comes
 _MOST_WAITED = 4 << 10  # of a large answer, or one whose length is not known, before it is passed on
@@ -94,9 +94,17 @@
     size: int = 0  # of the body, as far as it came
     stream: Pipe | None = None
     has_head: bool = False
+    trailers: int = 0
 
     def add_header(self, name: bytes, value: bytes) -> None:
-        if not self.has_head:  # a trailer is passed over
+        """Keep a header and count a trailer; raise TooManyHeaders beyond what either may have."""
+        if self.has_head:
+            self.trailers += 1  # and it is passed over
+            if self.trailers > MOST_HEADERS:
+                raise TooManyHeaders
+        else:
+            if len(self.headers) >= MOST_HEADERS:
+                raise TooManyHeaders
             # Blanks behind a value are none of it (RFC 9112, 5.1); the parser leaves them there.
             if value and value[-1] <= _BLANK:
                 value = value.rstrip(b" \t")
@@ -115,6 +123,7 @@
 
     _part: _Part | None
     _make_pipe: MakePipe | None  # None: every body is kept
+    _framing: FramingCount
 
     def release(self) -> None:
         """Read no more, and let go of all that was read.
@@ -131,6 +140,7 @@
         return self._part is not None
 
     def on_message_begin(self) -> None:
+        self._framing.went_on()
         self._part = _Part()
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -148,8 +158,7 @@
         self._most_body = most_body
         self._make_pipe = make_pipe
         self._part: _Part | None = None
-        self._head_bytes = 0  # read of the head at hand, but for the read in which it began behind another
-        self._has_ended_one = False  # whether a request ended in the read at hand
+        self._framing = FramingCount()
         self._arrived_at = 0.0
         self._parser = httptools.HttpRequestParser(self)
 
@@ -167,19 +176,19 @@
         if self.fault is not None:
             return
         self._arrived_at = arrived_at
-        self._has_ended_one = False
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._turn_away(400)
-        if self._part is None or self._part.has_head or self._has_ended_one:
-            # Guards a client that sends many requests ahead: those before this head are no part of it.
-            self._head_bytes = 0
-        else:
-            # Guards against a head that never ends: the parser keeps it all.
-            self._head_bytes += len(data)
-            if self._head_bytes > MOST_HEAD:
-                self._turn_away(431)
+            self._turn_away(400)  # unless it was turned away already, for what it did
+        if not self._framing.read(len(data)):
+            self._turn_away(431)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        try:
+            super().on_header(name, value)
+        except TooManyHeaders:
+            self._turn_away(431)
+            raise  # so that the parser reads no further
 
     def _turn_away(self, status: int) -> None:
         if self.fault is None:
@@ -195,6 +204,7 @@
         part = self._part
         if part is None or self.fault is not None:
             return
+        self._framing.went_on()
         part.has_head = True
         lengths, codings, expects = [], [], []
         for name, value in part.headers:  # one look for all three: it is made for every request
@@ -218,6 +228,7 @@
         if self._part is None or self.fault is not None:
             return
         part = self._part
+        self._framing.went_on()
         part.size += len(body)
         if part.size > self._most_body:
             self._turn_away(413)
@@ -238,7 +249,7 @@
 
     def on_message_complete(self) -> None:
         part, self._part = self._part, None
-        self._has_ended_one = True
+        self._framing.went_on()
         self.awaits_continue = False
         if part is None or self.fault is not None:
             return
@@ -272,6 +283,7 @@
         self._most_body = most_body
         self._make_pipe = make_pipe
         self._begin: Callable[[Response], bool] | None = None
+        self._framing = FramingCount()
         self._parser = httptools.HttpResponseParser(self)
         self.expect()
 
@@ -293,6 +305,8 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.is_spoilt = True
+        if not self._framing.read(len(data)):
+            self.is_spoilt = True
         if self.response is not None:
             self.has_more = self.has_more or self.is_spoilt
             self.is_spoilt = False  # the answer itself was whole by then
@@ -306,6 +320,7 @@
     def on_headers_complete(self) -> None:
         if self._part is None:
             return
+        self._framing.went_on()
         self._part.has_head = True
         status = self._parser.get_status_code()
         if status < 200:
@@ -327,6 +342,7 @@
         if self._part is None or self.is_spoilt or self.response is not None:
             return
         part = self._part
+        self._framing.went_on()
         part.size += len(body)
         if part.size > self._most_body:
             self.is_spoilt = True
@@ -386,6 +402,7 @@
 
     def on_message_complete(self) -> None:
         part, self._part = self._part, None
+        self._framing.went_on()
         status = self._parser.get_status_code()
         if part is None or self.is_spoilt or self.response is not None or status < 200:
             return
--- a/micadeck/library/outgoing.py
+++ b/micadeck/library/outgoing.py
@@ -8,8 +8,9 @@
 from dataclasses import dataclass
 
 from magpiemux.interface import Repeat, ServiceClass, Settings
+from micadeck.http.framing import MOST_HEAD, MOST_HEADERS
 from micadeck.http.generations import Generations
-from micadeck.http.h1 import MOST_BODY, MOST_HEAD, Headers, Request
+from micadeck.http.h1 import MOST_BODY, Headers, Request
 from micadeck.http.incoming import BadRequest, Incoming, key_of, read_request
 
 _NAME = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
@@ -53,7 +54,7 @@
             raise Malformed("the method is nonsense")
         if not _TARGET.fullmatch(target):
             raise Malformed("the target is nonsense")
-        if size > MOST_HEAD:
+        if size > MOST_HEAD or len(given) > MOST_HEADERS:
             raise Malformed("the headers are too large", 431)
         if len(body) > MOST_BODY:
             raise Malformed("the body is too large", 413)
--- a/micadeck/membership/roster.py
+++ b/micadeck/membership/roster.py
@@ -16,6 +16,9 @@
 
 _STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 _MOST_CALLS = 8  # at once; more fail unasked
+# Of a list, counted before it is read: each may cost 100 bytes as an object, also where it takes three bytes
+# of the list.  A list of 3,200 servers has 55,000.
+_MOST_VALUES = 160_000
 
 
 def parse_listing(given: object) -> Listing:
@@ -56,6 +59,13 @@
     return Entry(listed, address)
 
 
+def _check_values(body: bytes) -> None:
+    """Raise ValueError on a list that would cost far more memory than its bytes."""
+    values = sum(body.count(each) for each in (b",", b":", b"{", b"["))
+    if values > _MOST_VALUES:
+        raise ValueError(f"servers: {values} values are more than the {_MOST_VALUES} that are read")
+
+
 def _text(given: dict[str, Any], key: str) -> str:
     value = given.get(key)
     if value is None:
@@ -260,6 +270,7 @@
     def _read(self, body: bytes) -> Listing:
         """Read an answer; of many in a row that can't be read, the first is told."""
         try:
+            _check_values(body)
             listing = parse_listing(json.loads(body))
         except (ValueError, RecursionError) as nonsense:
             if self._log is not None and not self._told_nonsense:
--- a/micadeck/standins/hostile/peers.py
+++ b/micadeck/standins/hostile/peers.py
@@ -188,7 +188,14 @@
         "version": 1,
         "full": True,
         "servers": [
-            {"id": f"s-{number}", "addr": address, "zone": "a", "cell": 1, "state": "active"}
+            {
+                "id": f"s-{number}",
+                "addr": address,
+                "zone": "a",
+                "cell": 1,
+                "state": "active",
+                "started_ms": 1,  # long ago: no slow start
+            }
             for number, address in enumerate(addresses)
         ],
     }
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -137,6 +137,7 @@
         (b'{"version": 2, "full": true, "servers": [{"id": "s-1", "state": "asleep"}]}', "'asleep' of s-1"),
         (b'{"version": 2, "full": true, "servers": [{"id": "", "state": "left"}]}', "an id "),
         (b'{"version": 2, "full": true, "servers": [{"id": "s-1", "state": "active"}]}', "addr"),
+        (b'{"version": 2, "full": true, "servers": [' + b"{}," * 90_000 + b"{}]}", "values are more than"),
     ],
 )
 def test_nonsense_for_a_list_is_told_once_by_its_field_and_changes_nothing(body: bytes, names: str) -> None:
