Keep one account of what others send, in what it costs, and act on it in stages; give memory back

Seen: requests were counted in bytes that came (a request of 3,800 headers of four bytes: 16 KiB counted, 500 KiB kept), what waited behind an answered one no longer at all, parts of answers nowhere, and what was free stayed with the process: 35 to 97 MB a few seconds after loads of 3 s. Measured with tracemalloc: a request costs 250 bytes and 100 to 130 for each header beside its bytes. Ruled out as the holder after loads: objects (malloc_trim alone gives 29.8 -> 6.3 MB back in 2.8 ms). At fault: Frontend.holds and let_go, ClientConnection._read, and that nobody asked the allocator.

Change: micadeck/memory. MemoryAccount books requests and parts of answers by real cost; stages at shares of the limit, left at four fifths of them: pass bodies on from 8 KiB, shed new requests (503, Retry-After; engine.take), give up half-sent ones, close what is idle. MemoryKeeper, in the daemon alone, reads the resident memory four times a second, gives free memory back, logs each stage and each new tenth of the limit. Figures at the door: memory_*, loop_lag_ms, descriptors. Two processes of a sidecar share the limit. Where there is no room, requests half sent for over 1 s go before clients that have just connected.

--- a/micadeck/daemon.py
+++ b/micadeck/daemon.py
@@ -12,6 +12,7 @@
 
 from magpiemux import IS_COMPILED
 from micadeck.config import Config, ConfigError, load
+from micadeck.memory.keeper import MemoryKeeper
 from micadeck.memory.resident import MB, anonymous_bytes
 from micadeck.network import LoopNetwork
 from micadeck.operations import Beside
@@ -78,15 +79,19 @@
             reload(sidecar, log)
 
     signals.attach(loop.call_soon_threadsafe, end.set, read_anew)
+    keeper = MemoryKeeper(network, sidecar.memory, log, sidecar.count_memory)
+    sidecar.on_memory_stage = keeper.told_stage
     await sidecar.start()
     door = sidecar.door
     staff = f", operators on {config.operator[0]}:{door.port}" if door and config.operator else ""
     how = ", decisions compiled" if IS_COMPILED else ""
     log(f"{config.name} serves on {config.listen[0]}:{sidecar.frontend.port}{staff}{how}")
     gc.freeze()  # what is there now stays: collections need not look at it
+    keeper.start()
     await end.wait()
     log("draining")
     await sidecar.stop(signals.ended_at)
+    keeper.close()
     log("drained")
     signals.ignore()
 
--- a/micadeck/engine/engine.py
+++ b/micadeck/engine/engine.py
@@ -43,9 +43,11 @@
 from micadeck.engine.account import Account
 from micadeck.engine.gate import LATE_US, InvariantLog, Violation
 from micadeck.engine.ports import Carrier, Cause, Listing, Messages, Request, Source, Waiter
+from micadeck.memory.account import MemoryAccount, Stage
 from micadeck.network import Network
 
 _PROBE_WITHIN_US = 1_000_000
+_SHED_RETRY_US = 500_000  # when a request that was refused for memory may come again
 
 
 class IdInUse(Exception):
@@ -104,8 +106,10 @@
         self._balancer = self._decisions  # or what hears in its place
         self.invariants = InvariantLog(log)
         self.account = Account()
+        self.shed = 0  # requests refused for memory
         self.on_listed: Callable[[Listing], None] | None = None  # hears each list, beside the decisions
         self.has_list = False  # whether a list was heard since the start
+        self.memory: MemoryAccount | None = None  # where it is short, new requests are refused
         self._events: deque[Event] = deque()
         self._is_handling = False
         self._open: dict[int, _Open] = {}
@@ -189,6 +193,12 @@
             self.account[request.service_class].refused += 1
             waiter.refused(0)
             return None
+        if self.memory is not None and self.memory.stage >= Stage.SHED:
+            self.account[request.service_class].refused += 1
+            self.shed += 1
+            limits = self._settings.limits
+            waiter.refused(min(limits.max_retry_after_us, _SHED_RETRY_US) if limits.retry_after else 0)
+            return None
         if self._stop_by is not None:
             request.remaining_us = self._time_left(request.remaining_us)
         number = self._next_request
--- a/micadeck/http/client.py
+++ b/micadeck/http/client.py
@@ -10,8 +10,9 @@
 from enum import Enum, unique
 from typing import cast
 
-from micadeck.http.h1 import LAST_CHUNK, MOST_KEPT, Request, Response, ResponseReader, chunk
-from micadeck.http.pipe import Budget, Pipe
+from micadeck.http.h1 import LAST_CHUNK, Request, Response, ResponseReader, chunk
+from micadeck.http.pipe import MOST_KEPT, Budget, Pipe
+from micadeck.memory.account import Kind
 from micadeck.network import Network, Stream, Timer
 
 _ANSWER_TIMEOUT_S = 0.25  # without a byte, once an answer has begun to come
@@ -58,7 +59,12 @@
         self._transport: asyncio.Transport | None = None
         self._stream: Stream | None = None
         self._budget = budget  # of what is passed on; None: every answer is kept
-        self._reader = ResponseReader(most_bytes, self._make_pipe if budget is not None else None)
+        self._memory = None if budget is None else budget.memory
+        self._booked = 0  # there, of the answer that comes
+        if budget is None:
+            self._reader = ResponseReader(most_bytes)
+        else:
+            self._reader = ResponseReader(most_bytes, self._make_pipe, budget.most_kept)
         self._sending: Pipe | None = None  # the body of the request, while it is passed on
         self._heard_at = 0.0
         self._is_paused = False  # whoever takes the answer takes nothing for now
@@ -234,10 +240,17 @@
         elif reader.is_spoilt:
             self._fail(Failure.SPOILT)
         elif reader.has_part:
+            self._book(reader.cost)
             self._heard_at = self._network.time()
             if self._answer_timer is None:
                 self._answer_timer = self._network.call_later(self._stall_s(), self._look_for_more)
 
+    def _book(self, cost: int) -> None:
+        """Count what is kept of the answer now, in bytes."""
+        if self._memory is not None and cost != self._booked:
+            self._memory.book(Kind.ANSWERS, cost - self._booked)
+            self._booked = cost
+
     def _stall_s(self) -> float:
         return self._answer_timeout_s if self._reader.stream is None else _STREAM_STALL_S
 
@@ -277,6 +290,7 @@
 
     def _answered(self, response: Response) -> None:
         self._stop_timer()
+        self._book(0)
         ended, self._ended = self._ended, None
         how: Response | Failure = response
         is_written = not self.is_unwritten
@@ -301,5 +315,6 @@
     def _report_closed(self) -> None:
         if not self._closed:
             self._closed = True
+            self._book(0)
             self._reader.release()
             self._on_closed(self)
--- a/micadeck/http/framing.py
+++ b/micadeck/http/framing.py
@@ -23,6 +23,11 @@
         self._bytes = 0
         self._has_gone_on = False
 
+    @property
+    def pending(self) -> int:
+        """Bytes read that brought the message no further: a header without its end, most of all."""
+        return self._bytes
+
     def went_on(self) -> None:
         """Take note that, in the read at hand, a message began or ended, or brought a part of its body.
 
--- a/micadeck/http/frontend.py
+++ b/micadeck/http/frontend.py
@@ -28,6 +28,7 @@
 from micadeck.http.incoming import BadRequest, read_request
 from micadeck.http.pipe import Budget, Pipe
 from micadeck.http.resting import Resting, rest_for_s
+from micadeck.memory.account import OPEN_REQUEST_COST, Kind
 from micadeck.network import Address, Listener, Network, Stream, Timer
 
 _ACCEPTED_AT_ONCE = 8  # connections, before those that are open get their turn
@@ -35,6 +36,7 @@
 _MOST_BEHIND = 8 << 10  # bytes read on behind an open request, so that the client's end behind them is seen
 _HEALTH = b"/_health"
 _LONGEST_UNREAD_S = 60.0  # more is nonsense
+_HALF_SENT_SPARED_S = 1.0  # by those who connect where there is no room
 _TURN_SPARE_S = 0.002  # guards against a timer that fires early: it would fire in vain
 
 
@@ -78,7 +80,7 @@
 
     def __init__(self, frontend: Frontend) -> None:
         self._frontend = frontend
-        self._reader = RequestReader(MOST_BODY, self._make_pipe)
+        self._reader = RequestReader(MOST_BODY, self._make_pipe, frontend.budget.most_kept)
         self._body: Pipe | None = None  # that of the request at hand, where it is passed on
         self._upload: Pipe | None = None  # the same, while it still comes
         self._download: Response | None = None  # the answer that is passed on
@@ -93,7 +95,8 @@
         self._behind = 0  # bytes that came behind an open request, and wait for their turn
         self.state = State.SILENT
         self.since = 0.0  # when it came to that state; for a part of a request, when that began
-        self.held = 0  # bytes of the request at hand, and of what came behind it
+        self._at_hand = 0  # what the open request costs of memory, in bytes
+        self.held = 0  # the same, with what came behind it
         self.came = 0  # bytes since the request at hand began
         self.heard_at = 0.0  # when the last byte came
         self.blocked_since: float | None = None  # since when the client takes nothing of its answer
@@ -112,10 +115,15 @@
             and not self._stream.has_unread()
         )
 
+    @property
+    def unsent_bytes(self) -> int:
+        """How much the client has not taken of what was written."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+
     @property
     def has_unsent(self) -> bool:
         """Whether the client has not taken all that was written."""
-        return self._transport is not None and bool(self._transport.get_write_buffer_size())
+        return bool(self.unsent_bytes)
 
     @property
     def has_left(self) -> bool:
@@ -205,12 +213,13 @@
 
     def _rest(self) -> None:
         self.answers += 1
-        self.came = 0
+        self.came = self._at_hand = 0
         self._frontend.moved(self, State.RESTING)
         if self._reader.has_part or self._reader.requests or self._reader.fault is not None:
             # Guards against waiting for data when the next request came in one piece with this one.
             self.heard_at = self._frontend.network.time()  # reading was held up until now
             self._frontend.moved(self, State.READING)
+            self._frontend.holds(self, self._reader.cost)
             self._frontend.network.call_soon(self._advance)
         elif not self._is_writing_paused:
             self._resume_reading()
@@ -275,7 +284,7 @@
         self.came += nbytes
         self._reader.feed(bytes(self._frontend.buffer[:nbytes]), self._arrived_at(now))
         if self._upload is None:
-            self._frontend.holds(self, nbytes)
+            self._frontend.holds(self, self._at_hand + self._reader.cost)
             self._advance()
         else:
             self._go_on_uploading()
@@ -430,7 +439,7 @@
             if self._is_writing_paused:
                 return  # guards against a client that asks on and on, and reads no answer
             if self._reader.requests:
-                self._taken(self._reader.requests.popleft())
+                self._taken(self._reader.take())
             elif self._reader.fault is not None:
                 self.reject(self._reader.fault)
             else:
@@ -460,6 +469,8 @@
             self._frontend.moved(self, State.UPLOADING)
         else:
             self._frontend.moved(self, State.SERVING)
+            self._at_hand = request.cost + OPEN_REQUEST_COST
+            self._frontend.holds(self, self._at_hand + self._reader.cost)
         if request.target == _HEALTH:
             if self._frontend.is_healthy:
                 self.answer(200, [], b"ready\n")
@@ -658,18 +669,44 @@
                 # After this round, so that a request that came in one piece with the last one is seen.
                 self.network.call_soon(self._close_spare)
 
-    def holds(self, connection: ClientSide, more: int) -> None:
-        """Count what is kept in memory for requests; over the limit, the oldest half-sent one goes.
+    def holds(self, connection: ClientSide, cost: int) -> None:
+        """Count what a connection's requests cost of memory, in bytes; over the limit, the oldest half-sent
+        one goes.
 
         Guards against many clients that each send a part of a large request, and no more.
         """
-        connection.held += more
+        self._held_by(connection, cost)
+        while self._held > self._limits.most_bytes and self.give_up_oldest():
+            pass
+
+    def _held_by(self, connection: ClientSide, cost: int) -> None:
+        more = cost - connection.held
+        connection.held = cost
         self._held += more
-        while self._held > self._limits.most_bytes:
-            oldest = next(iter(self._by_state[State.READING]), None)
-            if oldest is None:
-                return
-            oldest.reject(503)
+        if self.budget.memory is not None:
+            self.budget.memory.book(Kind.REQUESTS, more)
+
+    def give_up_oldest(self) -> bool:
+        """Turn away the request that has been half sent for longest; say whether there was one."""
+        oldest = next(self._half_sent(), None)
+        if oldest is None:
+            return False
+        oldest.reject(503)
+        return True
+
+    def _half_sent(self) -> Iterator[ClientSide]:
+        """Connections on which only a part of a request has come, the one that is at it for longest first."""
+        return (each for each in self._by_state[State.READING] if not each.has_whole_request)
+
+    @property
+    def half_sent(self) -> int:
+        """Connections on which a request has come in part."""
+        return len(self._by_state[State.READING])
+
+    @property
+    def unsent_bytes(self) -> int:
+        """What clients have not taken of their answers."""
+        return sum(each.unsent_bytes for each in self.connections())
 
     def closed(self, connection: ClientSide) -> None:
         self._by_state[connection.state].pop(connection, None)
@@ -689,8 +726,7 @@
 
     def let_go(self, connection: ClientSide) -> None:
         """Hold nothing of it any more."""
-        self._held -= connection.held
-        connection.held = 0
+        self._held_by(connection, 0)
 
     def _make_room(self) -> bool:
         """Close the connection that is missed least; never one that is owed an answer."""
@@ -703,8 +739,11 @@
                 # others rest: it would be left without an answer.
                 (each for each in islice(self._by_state[State.SILENT], 1) if each.since <= silent_since),
                 (each for each in self._by_state[State.RESTING] if each.is_idle),
+                # Guards those who have just connected against clients that hold all the room with requests
+                # that never end.
+                (each for each in self._half_sent() if each.since <= now - _HALF_SENT_SPARED_S),
                 self._by_state[State.SILENT],
-                (each for each in self._by_state[State.READING] if not each.has_whole_request),
+                self._half_sent(),
                 # Not taken yet, since its last byte has not come: guards against bodies that come for ever.
                 self._by_state[State.UPLOADING],
                 # Its last answer has not left: last of all, and not before it had its time.
--- a/micadeck/http/h1.py
+++ b/micadeck/http/h1.py
@@ -14,12 +14,12 @@
 import httptools
 
 from micadeck.http.framing import MOST_HEADERS, FramingCount, TooManyHeaders
-from micadeck.http.pipe import Pipe
+from micadeck.http.pipe import MOST_KEPT, Pipe
+from micadeck.memory.account import HEADER_COST, REQUEST_COST
 
 Headers = list[tuple[bytes, bytes]]
 
 MOST_BODY = 33 << 20  # of a request, and of a server's answer
-MOST_KEPT = 64 << 10  # of it, that is kept whole; a larger one is passed on while it comes
 _MOST_WAITED = 4 << 10  # of a large answer, or one whose length is not known, before it is passed on
 _BLANK = 0x20  # a space, and above a tab
 _MOST_INTERIM = 8  # 1xx answers ahead of the one that counts
@@ -38,6 +38,7 @@
     stream: Pipe | None = None  # the body, where it is passed on as it comes
     version: str = "1.1"
     arrived_at: float = 0.0  # when its last byte came, or of a body that is passed on its first, in seconds
+    cost: int = 0  # of keeping it, in bytes, its body with it
 
     def encode(self) -> bytes:
         """Its bytes, or its head where the body is passed on."""
@@ -95,6 +96,7 @@
     stream: Pipe | None = None
     has_head: bool = False
     trailers: int = 0
+    head_bytes: int = 0  # once its head is whole, of names, values and the target
 
     def add_header(self, name: bytes, value: bytes) -> None:
         """Keep a header and count a trailer; raise TooManyHeaders beyond what either may have."""
@@ -110,6 +112,11 @@
                 value = value.rstrip(b" \t")
             self.headers.append((name.lower(), value))
 
+    @property
+    def cost(self) -> int:
+        """What it takes of memory as far as it came, in bytes, but for a header that has not ended."""
+        return REQUEST_COST + self.head_bytes + HEADER_COST * len(self.headers) + len(self.body)
+
     def values(self, name: bytes) -> list[bytes]:
         return [value for key, value in self.headers if key == name]
 
@@ -151,8 +158,15 @@
 class RequestReader(_Reader):
     """Reads the requests of one connection.  Whole ones wait in `requests`; `fault` ends it for good."""
 
-    def __init__(self, most_body: int, make_pipe: MakePipe | None = None) -> None:
+    def __init__(
+        self,
+        most_body: int,
+        make_pipe: MakePipe | None = None,
+        most_kept: Callable[[], int] = lambda: MOST_KEPT,
+    ) -> None:
         self.requests: deque[Request] = deque()
+        self._waiting_cost = 0  # of these
+        self._most_kept = most_kept
         self.fault: int | None = None  # the status that what came is to be turned away with
         self.awaits_continue = False
         self._most_body = most_body
@@ -165,8 +179,21 @@
     def release(self) -> None:
         self._turn_away(400)
         self.requests.clear()
+        self._waiting_cost = 0
         super().release()
 
+    def take(self) -> Request:
+        """The request that waits for longest; it waits no more."""
+        request = self.requests.popleft()
+        self._waiting_cost -= request.cost
+        return request
+
+    @property
+    def cost(self) -> int:
+        """What is kept here costs of memory, in bytes."""
+        part = self._part
+        return self._waiting_cost + (0 if part is None else part.cost + self._framing.pending)
+
     @property
     def has_head(self) -> bool:
         return self._part is not None and self._part.has_head
@@ -207,7 +234,9 @@
         self._framing.went_on()
         part.has_head = True
         lengths, codings, expects = [], [], []
-        for name, value in part.headers:  # one look for all three: it is made for every request
+        part.head_bytes = len(part.target)
+        for name, value in part.headers:  # one look for all: it is made for every request
+            part.head_bytes += len(name) + len(value)
             if name == b"content-length":
                 lengths.append(value)
             elif name == b"transfer-encoding":
@@ -236,7 +265,7 @@
             part.stream.put(body)
         else:
             part.body += body
-            if len(part.body) > MOST_KEPT and self._make_pipe is not None:
+            if self._make_pipe is not None and len(part.body) > self._most_kept():
                 self._pass_on(part, self._make_pipe)
 
     def _pass_on(self, part: _Part, make_pipe: MakePipe) -> None:
@@ -260,6 +289,8 @@
 
     def _append(self, part: _Part) -> None:
         parser = self._parser
+        cost = part.cost
+        self._waiting_cost += cost
         self.requests.append(
             Request(
                 parser.get_method(),
@@ -270,6 +301,7 @@
                 part.stream,
                 part.version,
                 self._arrived_at,
+                cost,
             )
         )
 
@@ -277,8 +309,14 @@
 class ResponseReader(_Reader):
     """Reads the one answer that is due on a connection, and notices what comes beyond it."""
 
-    def __init__(self, most_body: int, make_pipe: MakePipe | None = None) -> None:
+    def __init__(
+        self,
+        most_body: int,
+        make_pipe: MakePipe | None = None,
+        most_kept: Callable[[], int] = lambda: MOST_KEPT,
+    ) -> None:
         self.keep_alive = False
+        self._most_kept = most_kept
         self.has_more = False  # something came behind the answer
         self._most_body = most_body
         self._make_pipe = make_pipe
@@ -353,8 +391,7 @@
             if self._begin is not None and self._make_pipe is not None and self._is_large(part):
                 self._pass_on(part, self._begin, self._make_pipe)
 
-    @staticmethod
-    def _is_large(part: _Part) -> bool:
+    def _is_large(self, part: _Part) -> bool:
         """Whether more comes than is kept: as it says, or guessed where it does not.
 
         Guards against holding the first bytes of a slow answer back until all that may be kept has come; and
@@ -363,7 +400,7 @@
         if len(part.body) <= _MOST_WAITED:
             return False
         lengths = part.values(b"content-length")
-        return not lengths or int(lengths[0]) > MOST_KEPT
+        return not lengths or int(lengths[0]) > self._most_kept()
 
     def _pass_on(self, part: _Part, begin: Callable[[Response], bool], make_pipe: MakePipe) -> None:
         status = self._parser.get_status_code()
@@ -389,6 +426,11 @@
         }
         return b"close" in options or self._parser.get_http_version() == "1.0"
 
+    @property
+    def cost(self) -> int:
+        """What is kept of an answer in part costs of memory, in bytes."""
+        return 0 if self._part is None else self._part.cost + self._framing.pending
+
     @property
     def stream(self) -> Pipe | None:
         """The body that is being passed on."""
--- a/micadeck/http/pipe.py
+++ b/micadeck/http/pipe.py
@@ -8,18 +8,28 @@
 from collections import deque
 from collections.abc import Callable
 
+from micadeck.memory.account import MemoryAccount, Stage
+
+MOST_KEPT = 64 << 10  # of a body, that is kept whole; a larger one is passed on while it comes
+_MOST_KEPT_WHEN_SHORT = 8 << 10
 _MOST_EACH = 64 << 10  # bytes that one pipe holds before its writer is paused
 _LEAST_EACH = 8 << 10
 
 
 class Budget:
-    """What all pipes together may hold, in bytes."""
+    """What all pipes together may hold, in bytes, and how large a body may be to be kept whole instead."""
 
-    def __init__(self, most: int) -> None:
+    def __init__(self, most: int, memory: MemoryAccount | None = None) -> None:
         self.most = most
+        self.memory = memory  # the account of what is kept; None: nobody counts it
         self.pipes = 0  # that are open
         self.held = 0  # bytes in all of them
 
+    def most_kept(self) -> int:
+        """The largest body, in bytes, that is kept whole: less where memory is short."""
+        is_short = self.memory is not None and self.memory.stage >= Stage.PASS_ON
+        return _MOST_KEPT_WHEN_SHORT if is_short else MOST_KEPT
+
     def share(self) -> int:
         """How much one pipe may hold now: less each, the more there are."""
         return max(min(_MOST_EACH, self.most // max(self.pipes, 1)), _LEAST_EACH)
--- a/micadeck/http/upstream.py
+++ b/micadeck/http/upstream.py
@@ -231,6 +231,11 @@
             call.connection.close()
         self._network.call_soon(call.done, outcome, None, None)
 
+    def close_all_idle(self) -> None:
+        """Close every connection at rest."""
+        for server in list(self._servers.values()):
+            self._close_idle(server)
+
     def close_idle(self, name: str) -> None:
         server = self._servers.get(name)
         if server is not None:
--- /dev/null
+++ b/micadeck/memory/keeper.py
@@ -0,0 +1,106 @@
+"""Looks at the process's memory a few times a second, gives back what is free, and says how it stands."""
+
+from __future__ import annotations
+
+import ctypes
+import gc
+from collections.abc import Callable
+
+from micadeck.memory.account import Kind, MemoryAccount, Stage
+from micadeck.memory.resident import MB, anonymous_bytes
+from micadeck.network import Network, Timer
+
+LOOK_EVERY_S = 0.25
+_TRIM_AT_MB = 4  # resident beyond what is booked and the idle process, before it is given back
+_TRIM_EVERY_S = 1.0
+_YOUNG = 1  # the generations that a collection looks at: the rest was frozen at the start
+_TENTHS = 10
+
+
+class MemoryKeeper:
+    """Feeds an account with the resident memory, from `start` to `close`."""
+
+    def __init__(
+        self,
+        network: Network,
+        account: MemoryAccount,
+        log: Callable[[str], None],
+        count: Callable[[], None] = lambda: None,
+    ) -> None:
+        """`count` books in the account what is only counted now and then."""
+        self._network = network
+        self._account = account
+        self._log = log
+        self._count = count
+        self._timer: Timer | None = None
+        self._trimmed_at = 0.0
+        self._kept = 0  # resident bytes that nobody booked and the last trim left
+        self._due = 0.0
+        self._tenth = 0  # of the limit, the highest that was told
+
+    def start(self) -> None:
+        """Take the memory of now for that of the idle process."""
+        self._account.starts_at(anonymous_bytes())
+        self._tenth = self._tenth_of(self._account.resident)
+        self._later()
+
+    def close(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def told_stage(self, stage: Stage) -> None:
+        """Log a stage that is entered."""
+        self._log(f"memory: {stage.name.lower().replace('_', ' ')}: {self._words()}")
+
+    def _later(self) -> None:
+        self._due = self._network.time() + LOOK_EVERY_S
+        self._timer = self._network.call_later(LOOK_EVERY_S, self._look)
+
+    def _look(self) -> None:
+        self._account.loop_lag_s = max(self._network.time() - self._due, 0.0)
+        self._count()
+        resident = anonymous_bytes()
+        self._account.saw_resident(resident)
+        if self._is_worth_a_trim():
+            resident = self._give_back()
+        self._tell_tenth(resident)
+        self._later()
+
+    def _is_worth_a_trim(self) -> bool:
+        """Guards against trimming over and over what is in use, though nobody books it."""
+        self._kept = min(self._kept, self._account.unaccounted)
+        is_due = self._network.time() - self._trimmed_at >= _TRIM_EVERY_S
+        return is_due and self._account.unaccounted - self._kept > _TRIM_AT_MB * MB
+
+    def _give_back(self) -> int:
+        """Have the allocator give free memory back to the system; give the resident memory after."""
+        self._trimmed_at = self._network.time()
+        gc.collect(_YOUNG)
+        trim_heap()
+        resident = anonymous_bytes()
+        self._account.saw_resident(resident)
+        self._kept = self._account.unaccounted
+        return resident
+
+    def _tenth_of(self, resident: int) -> int:
+        return resident * _TENTHS // max(self._account.limit_bytes, 1)
+
+    def _tell_tenth(self, resident: int) -> None:
+        tenth = self._tenth_of(resident)
+        if tenth > self._tenth:
+            self._tenth = tenth
+            self._log(f"memory: {self._words()}")
+
+    def _words(self) -> str:
+        account = self._account
+        kinds = ", ".join(f"{kind} {account.booked[kind] / MB:.1f}" for kind in Kind)
+        resident = f"{account.resident / MB:.1f} of {account.limit_bytes / MB:.0f} MB resident"
+        return f"{resident}; {kinds}, unaccounted {account.unaccounted / MB:.1f}"
+
+
+def trim_heap() -> None:
+    """Give the C library's free memory back to the system, where the library can (glibc)."""
+    try:
+        ctypes.CDLL(None).malloc_trim(0)
+    except (OSError, AttributeError):
+        pass  # another C library
--- a/micadeck/memory/resident.py
+++ b/micadeck/memory/resident.py
@@ -10,6 +10,14 @@
 _PAGE = os.sysconf("SC_PAGE_SIZE")
 
 
+def open_descriptors() -> int:
+    """How many descriptors this process has open; 0 where the system does not tell."""
+    try:
+        return len(os.listdir("/proc/self/fd")) - 1  # one of them reads the folder
+    except OSError:
+        return 0
+
+
 def anonymous_bytes() -> int:
     """Resident pages that are neither of files nor shared, in bytes; 0 where the system does not tell."""
     try:
--- a/micadeck/operations/figures.py
+++ b/micadeck/operations/figures.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from micadeck.engine import Account
@@ -22,6 +22,13 @@
     tries: int  # attempts written whole
     loads: int  # configurations taken at SIGHUP
     load_errors: int  # and turned down
+    resident_bytes: int  # anonymous memory of the process
+    resident_most_bytes: int  # the most that was seen
+    memory_stage: int  # 0 where there is enough; docs/on-call.md
+    memory_shed: int  # requests refused for memory
+    booked_bytes: Mapping[str, int]  # what is kept of what others send, by kind
+    loop_lag_ms: int  # how late the event loop came round last
+    descriptors: int  # open in the process
 
 
 def report(account: Account, classes: Iterable[str], counts: Counts) -> bytes:
@@ -40,6 +47,13 @@
         ("skipped_servers", counts.skipped_servers, "g"),
         ("loads", counts.loads, "c"),
         ("load_errors", counts.load_errors, "c"),
+        ("memory_resident", counts.resident_bytes, "g"),
+        ("memory_resident_most", counts.resident_most_bytes, "g"),
+        ("memory_stage", counts.memory_stage, "g"),
+        ("memory_shed", counts.memory_shed, "c"),
+        *((f"memory_booked.{kind}", booked, "g") for kind, booked in counts.booked_bytes.items()),
+        ("loop_lag_ms", counts.loop_lag_ms, "g"),
+        ("descriptors", counts.descriptors, "g"),
     ):
         lines.append(f"{_PREFIX}.{name}:{figure}|{kind}")
     return "".join(f"{each}\n" for each in lines).encode()
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -17,6 +17,8 @@
 from micadeck.http.pipe import Budget
 from micadeck.http.upstream import Upstream
 from micadeck.membership.roster import Roster
+from micadeck.memory.account import Kind, MemoryAccount, Stage
+from micadeck.memory.resident import MB, open_descriptors
 from micadeck.network import Address, Network, place
 from micadeck.operations import Beside, Counts, DoorApart, LetGo, Life, OpenIds, Phase, report, share_of
 from micadeck.operations.margins import FLUSH_S, KILLED_AFTER_S, answered_by
@@ -52,6 +54,8 @@
 _LOOK_BESIDE_S = 0.1  # for another process of this sidecar
 _NEW_FOR_S = 0.4  # how long after SIGTERM new connections may go on coming
 _QUIET_S = 0.05  # and how long none must have come before the listener closes
+_RELIEVE_EVERY_S = 0.1  # while memory is so short that half-sent requests are given up
+_GIVEN_UP_AT_ONCE = 4  # one of so many of them
 _SHOWN_BESIDE_S = 0.1  # beyond a look, until another process of this sidecar shows what it has open
 
 
@@ -70,7 +74,8 @@
         self.network = network
         self.others = 0  # processes of this sidecar that share its limits
         self._log = log
-        self.budget = Budget(config.memory_mb * _PASSED_ON_OF_MEMORY)
+        self.memory = MemoryAccount(config.memory_mb * MB)
+        self.budget = Budget(config.memory_mb * _PASSED_ON_OF_MEMORY, self.memory)
         self.upstream = Upstream(network, settings, self.budget)
         is_pushed = settings.discovery is Discovery.PUSHED
         self.roster = (
@@ -92,6 +97,7 @@
         assert source is not None  # the configuration has one of them
         self.peers = Peers(network, config.peers, config.peers_all, settings.me)
         self.engine = make_engine(settings, config.seed, network, self.upstream, source, self.peers, log)
+        self.engine.memory = self.memory
         self.fleet = self._with_fleet(config, source.doubt)
         self.recorder = self._recorded(config) if config.trace else None
         self.recording = self._with_records(config) if config.records else None
@@ -219,7 +225,9 @@
         room = max(share_of(self.config.sockets, self.others) - _RESERVED, _LEAST_ROOM)
         self.for_clients = int(room * _FOR_CLIENTS)
         self.upstream.most = room - self.for_clients
-        self.budget.most = share_of(self.config.memory_mb, self.others) * _PASSED_ON_OF_MEMORY
+        memory_mb = share_of(self.config.memory_mb, self.others)
+        self.budget.most = memory_mb * _PASSED_ON_OF_MEMORY
+        self.memory.limit(memory_mb * MB)
 
     def beside(self, others: int) -> None:
         """Share the limits with so many other processes of this sidecar."""
@@ -268,10 +276,13 @@
         self.frontend = Frontend(config.settings, client_limits, self._engine, network, self._core.budget)
         self.frontend.most = self._core.for_clients
         self.frontend.on_settings = self._core.retune
+        self._core.memory.on_stage = self._relieve_soon
         self.mysql = self._with_mysql(config, network, log)
         self.life = Life()
         self.door = DoorApart(network, self) if config.operator is not None else None
         self._leaving: asyncio.Task[None] | None = None
+        self.on_memory_stage: Callable[[Stage], object] = _nothing
+        self._is_relieving = False
         self._loads = self._load_errors = 0
         self._started_at = 0.0
 
@@ -339,6 +350,40 @@
         """Count a configuration that can't be used."""
         self._load_errors += 1
 
+    # Memory
+
+    @property
+    def memory(self) -> MemoryAccount:
+        """What is kept of what others send."""
+        return self._core.memory
+
+    def count_memory(self) -> None:
+        """Book what is not counted with each message."""
+        self.memory.set(Kind.UNSENT, self.frontend.unsent_bytes)
+        self.memory.set(Kind.BODIES, self._core.budget.held)
+
+    def _relieve_soon(self, stage: Stage) -> None:
+        """Act on a stage, but not within whatever booked something just now."""
+        self.on_memory_stage(stage)
+        if stage >= Stage.GIVE_UP and not self._is_relieving:
+            self._is_relieving = True
+            self._network.call_soon(self._relieve)
+
+    def _relieve(self) -> None:
+        """Free what may be freed, for as long as memory is short: nothing that is owed an answer.
+
+        A part at a time: what is resident is only seen to shrink a moment later.
+        """
+        for _ in range(self.frontend.half_sent // _GIVEN_UP_AT_ONCE + 1):
+            if self.memory.stage < Stage.GIVE_UP or not self.frontend.give_up_oldest():
+                break
+        if self.memory.stage >= Stage.CLOSE_IDLE:
+            self.frontend.close_idle()
+            self._core.upstream.close_all_idle()
+        self._is_relieving = self.memory.stage >= Stage.GIVE_UP
+        if self._is_relieving:
+            self._network.call_later(_RELIEVE_EVERY_S, self._relieve)
+
     # What the operators' door asks, on a thread of its own
 
     @property
@@ -360,6 +405,13 @@
             tries=self._core.upstream.tries,
             loads=self._loads,
             load_errors=self._load_errors,
+            resident_bytes=self.memory.resident,
+            resident_most_bytes=self.memory.resident_most,
+            memory_stage=int(self.memory.stage),
+            memory_shed=engine.shed,
+            booked_bytes={str(kind): booked for kind, booked in self.memory.booked.items()},
+            loop_lag_ms=int(self.memory.loop_lag_s * 1e3),
+            descriptors=open_descriptors(),
         )
         return report(engine.account, (each.name for each in self._core.config.settings.classes), counts)
 
@@ -453,6 +505,10 @@
             self.mysql.close()
 
 
+def _nothing(_: object) -> None:
+    """Nobody hears of it."""
+
+
 class CannotListen(OSError):
     """An address of the configuration is taken, or not this machine's; the text begins with its key."""
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -14,8 +14,8 @@
 from loopback import HOST, PATIENCE_S, Client, Stage, played, read_head, request, rested, soon, stage, until
 
 from micadeck.http.frontend import ClientLimits
-from micadeck.http.h1 import MOST_KEPT, Request, RequestReader, Response, ResponseReader
-from micadeck.http.pipe import Budget, Pipe
+from micadeck.http.h1 import Request, RequestReader, Response, ResponseReader
+from micadeck.http.pipe import MOST_KEPT, Budget, Pipe
 
 LARGE = 4 << 20
 DOOR = {"operator": f"{HOST}:0"}
--- /dev/null
+++ b/tests/test_memory_account.py
@@ -0,0 +1,212 @@
+"""The account of memory: stages that do not flap, what is done in each, and nothing taken that is lost."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from loopback import OK, play, reply, request, stage, until
+
+from micadeck.memory.account import ENTERED_AT_BOOKED, LEFT_AT, Kind, MemoryAccount, Stage
+from micadeck.memory.keeper import MemoryKeeper
+from micadeck.memory.resident import MB
+
+LIMIT = 100 * MB
+
+
+def at(share: float) -> int:
+    return int(LIMIT * share)
+
+
+@pytest.mark.parametrize("stage_", [each for each in Stage if each is not Stage.NORMAL])
+@pytest.mark.parametrize("kind", [Kind.REQUESTS, Kind.ANSWERS])
+def test_a_stage_is_entered_at_its_share_and_left_at_a_lower_one(kind: Kind, stage_: Stage) -> None:
+    told: list[Stage] = []
+    account = MemoryAccount(LIMIT, told.append)
+    enters = at(ENTERED_AT_BOOKED[stage_])
+    account.book(kind, enters - 1)
+    assert account.stage is Stage(stage_ - 1)
+    account.book(kind, 1)
+    assert account.stage is stage_
+    account.set(kind, int(LEFT_AT * enters))
+    assert account.stage is stage_
+    account.book(kind, -1)
+    assert account.stage < stage_
+    account.set(kind, 0)
+    assert account.stage is Stage.NORMAL and told[-1] is Stage.NORMAL
+
+
+@pytest.mark.parametrize("kind", [Kind.BODIES, Kind.UNSENT])
+def test_what_has_a_bound_of_its_own_refuses_nobody(kind: Kind) -> None:
+    account = MemoryAccount(LIMIT)
+    account.book(kind, LIMIT)
+    assert account.stage is Stage.NORMAL and account.booked[kind] == LIMIT
+
+
+def test_resident_memory_that_nobody_booked_leads_to_a_stage_as_well() -> None:
+    account = MemoryAccount(LIMIT)
+    account.starts_at(at(0.2))
+    stages = []
+    for resident in (0.2, 0.5, 0.57, 0.69, 0.77, 0.85, 0.6, 0.45, 0.2):
+        account.saw_resident(at(resident))
+        stages.append(account.stage.value)
+    assert stages == [0, 0, 1, 2, 3, 4, 2, 0, 0]
+
+
+def test_a_limit_that_the_idle_process_nearly_takes_still_lets_a_trickle_through() -> None:
+    account = MemoryAccount(16 * MB)
+    account.starts_at(15 * MB)
+    stages = []
+    for resident_mb in (15.0, 15.2, 15.9):
+        account.book(Kind.REQUESTS, 20_000)
+        account.saw_resident(int(resident_mb * MB))
+        stages.append(account.stage)
+    assert stages == [Stage.NORMAL, Stage.NORMAL, Stage.CLOSE_IDLE]
+
+
+def test_two_processes_that_share_a_limit_shed_at_half_of_it() -> None:
+    account = MemoryAccount(LIMIT)
+    account.book(Kind.REQUESTS, at(0.07))
+    stages = [account.stage]
+    for limit in (LIMIT // 2, LIMIT):
+        account.limit(limit)
+        stages.append(account.stage)
+    account.book(Kind.REQUESTS, -at(0.01))
+    stages.append(account.stage)
+    # Passing on is entered at 0.08 of the limit and left at 0.064.
+    assert stages == [Stage.NORMAL, Stage.SHED, Stage.PASS_ON, Stage.NORMAL]
+
+
+@given(st.lists(st.tuples(st.sampled_from(Kind), st.integers(-(20 * MB), 20 * MB)), max_size=40))
+def test_the_stage_is_that_of_the_amounts_however_they_came(steps: list[tuple[Kind, int]]) -> None:
+    account = MemoryAccount(LIMIT)
+    for kind, more in steps:
+        before = account.stage
+        account.book(kind, more)
+        booked = account.booked[Kind.REQUESTS] + account.booked[Kind.ANSWERS]
+        assert account.counted == booked
+        enters = max(each for each in Stage if booked >= at(ENTERED_AT_BOOKED[each]) or each is Stage.NORMAL)
+        stays = max(
+            each
+            for each in Stage
+            if each is Stage.NORMAL or (each <= before and booked >= LEFT_AT * at(ENTERED_AT_BOOKED[each]))
+        )
+        assert account.stage is max(enters, stays)
+
+
+def test_new_requests_are_refused_and_taken_ones_answered_while_memory_is_short() -> None:
+    async def work() -> None:
+        release = asyncio.Event()
+
+        async def answer(heard: object) -> bytes:
+            await release.wait()
+            return OK
+
+        bounds = {"maxRetryAfterUs": 300_000}
+        async with stage(answer, bounds=bounds) as scene:
+            memory = scene.sidecar.memory
+            taken = await scene.client()
+            taken.send(request("lodge"))
+            await until(lambda: len(scene.heard) == 1)
+            memory.book(Kind.ANSWERS, int(memory.limit_bytes * ENTERED_AT_BOOKED[Stage.SHED]))
+            refused = await scene.ask("lodge")
+            assert refused.status == 503 and refused.headers["retry-after"] == "0.300"
+            release.set()
+            assert (await taken.answer()).status == 200
+            memory.set(Kind.ANSWERS, 0)
+            assert (await scene.ask("lodge")).status == 200
+            assert len(scene.heard) == 2  # the refused one was sent on to nobody
+            assert scene.sidecar._engine.shed == 1
+
+    play(work)
+
+
+def test_half_sent_requests_are_given_up_and_no_whole_one_is() -> None:
+    async def work() -> None:
+        async with stage(None) as scene:
+            memory = scene.sidecar.memory
+            half, whole = await scene.client(), await scene.client()
+            whole.send(request("lodge", timeout="10"))
+            await until(lambda: len(scene.heard) == 1)
+            half.send(request("lodge", body=b"x" * 1_000)[:-1])
+            await until(lambda: scene.sidecar.frontend.half_sent == 1)
+            memory.book(Kind.ANSWERS, int(memory.limit_bytes * ENTERED_AT_BOOKED[Stage.CLOSE_IDLE]))
+            assert (await half.answer()).status == 503
+            await asyncio.sleep(0.3)
+            assert scene.sidecar.open_requests == 1  # it is owed its answer
+            memory.set(Kind.ANSWERS, 0)
+
+    play(work)
+
+
+def test_bodies_are_passed_on_from_a_smaller_size_while_memory_is_short() -> None:
+    async def work() -> None:
+        body = b"y" * 30_000
+
+        async def half(heard: object) -> bytes:
+            return reply(body)[:20_000]
+
+        async with stage(half) as scene:
+            memory = scene.sidecar.memory
+            client = await scene.client()
+            memory.book(Kind.REQUESTS, int(memory.limit_bytes * ENTERED_AT_BOOKED[Stage.PASS_ON]))
+            client.send(request("lodge"))
+            head = await client.reader.readuntil(b"\r\n\r\n")
+            assert b" 200 " in head and b"content-length: 30000" in head
+
+    play(work)
+
+
+def test_all_that_was_booked_is_free_once_all_is_answered() -> None:
+    async def work() -> None:
+        async with stage(reply(b"z" * 40_000)) as scene:
+            clients = [await scene.client() for _ in range(4)]
+            for client in clients:
+                client.send(request("lodge", body=b"x" * 30_000) * 3)
+            for client in clients:
+                for _ in range(3):
+                    assert (await client.answer()).status == 200
+            half = await scene.client()
+            half.send(request("lodge", body=b"x" * 30_000)[:-1])
+            await until(lambda: scene.sidecar.memory.booked[Kind.REQUESTS] > 30_000)
+            half.close()
+            await until(lambda: not any(scene.sidecar.memory.booked.values()))
+
+    play(work)
+
+
+class _Clock:
+    """A network that only tells the time and keeps the one timer."""
+
+    def __init__(self) -> None:
+        self.at = 0.0
+
+    def time(self) -> float:
+        return self.at
+
+    def call_later(self, delay_s: float, callback: object) -> None:
+        self.at += delay_s
+
+
+def test_each_new_tenth_of_the_limit_is_one_line_with_what_holds_most(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    lines: list[str] = []
+    resident = [at(0.12)]
+    monkeypatch.setattr("micadeck.memory.keeper.anonymous_bytes", lambda: resident[0])
+    monkeypatch.setattr("micadeck.memory.keeper.trim_heap", lambda: None)
+    account = MemoryAccount(LIMIT)
+    keeper = MemoryKeeper(_Clock(), account, lines.append)  # type: ignore[arg-type]
+    keeper.start()
+    for share in (0.15, 0.21, 0.25, 0.33, 0.22, 0.35, 0.41):
+        resident[0] = at(share)
+        account.set(Kind.REQUESTS, at(0.05))
+        keeper._look()
+    assert len(lines) == 3
+    assert lines[0] == (
+        "memory: 21.0 of 100 MB resident; requests 5.0, answers 0.0, unsent 0.0, bodies 0.0, unaccounted 4.0"
+    )
+    assert json.dumps(account.booked)  # kinds are words, as figures name them
--- a/tests/test_room_for_clients.py
+++ b/tests/test_room_for_clients.py
@@ -54,3 +54,22 @@
                 assert data, came
                 came += data
             await until(lambda: scene.sidecar.open_requests == 0)
+
+
+@played
+async def test_a_client_that_has_just_connected_goes_before_requests_that_never_end() -> None:
+    async with stage(OK, given={"limits": {"sockets": 64}}) as scene:
+        frontend = scene.sidecar.frontend
+        dripping = [await scene.client() for _ in range(frontend.most)]
+        for each in dripping:
+            each.send(request("lodge")[:-2])
+        await until(lambda: frontend.half_sent == frontend.most)
+        await asyncio.sleep(1.1)
+        asking = await scene.client()
+        await until(lambda: frontend.half_sent == frontend.most - 1)
+        others = [await scene.client() for _ in range(frontend.most - 1)]  # and more of them come
+        await until(lambda: frontend.half_sent == 0)
+        asking.send(request("lodge"))
+        assert (await asking.answer()).status == 200
+        for each in others:
+            each.close()
