Wait out calls of a start that fail for a moment, and end only for what can't pass

Seen: 13 of 73 single failing calls ended a start with 1 or a traceback: socket, bind, listen, setsockopt, epoll_ctl. At fault: _listening in sidecar.py, which took each OSError for the last word; LoopListener, which kept its socket where getsockname or the event loop failed behind listen; run, which made one event loop and gave up; load, which took a file that can't be read for a bad one.

It is said once what is waited for; SIGTERM and SIGINT are heard meanwhile and end the start with 0. The operators' door listens before the clients' address, so that a start that is called off has taken nobody. An event loop that fails as it begins to run can't be closed by uvloop, so it is run once before it is used.

MySQL's own listener is not waited for yet.

--- a/micadeck/config.py
+++ b/micadeck/config.py
@@ -32,6 +32,14 @@
     """The configuration can't be used; the text begins with the key at fault."""
 
 
+class ConfigUnread(ConfigError):
+    """The file can't be read now, for `fault`."""
+
+    def __init__(self, text: str, fault: OSError) -> None:
+        super().__init__(text)
+        self.fault = fault
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """A sidecar's configuration."""
@@ -73,7 +81,9 @@
         raise ConfigError("BALANCER_CONFIG: the path of the configuration is needed")
     try:
         given = json.loads(Path(path).read_bytes())
-    except (OSError, ValueError, RecursionError) as fault:
+    except OSError as fault:
+        raise ConfigUnread(f"BALANCER_CONFIG: {path} can't be read: {fault}", fault) from None
+    except (ValueError, RecursionError) as fault:
         raise ConfigError(f"BALANCER_CONFIG: {path} can't be read: {fault}") from None
     if not isinstance(given, dict):
         raise ConfigError("BALANCER_CONFIG: the file must hold an object")
--- a/micadeck/daemon.py
+++ b/micadeck/daemon.py
@@ -5,17 +5,20 @@
 import asyncio
 import gc
 import os
+import socket
 import sys
+import time
 from collections.abc import Callable
 
 import uvloop
 
 from magpiemux import IS_COMPILED
-from micadeck.config import Config, ConfigError, load
+from micadeck.config import Config, ConfigError, ConfigUnread, load
 from micadeck.memory.keeper import MemoryKeeper
 from micadeck.memory.resident import MB, anonymous_bytes
 from micadeck.network import LoopNetwork
 from micadeck.operations import Beside
+from micadeck.operations.starting import StartCalledOff, StartWait
 from micadeck.sidecar import Sidecar
 from micadeck.signals import ProcessSignals
 
@@ -59,8 +62,12 @@
         log(f"reload: the old configuration stays in force: {fault}".replace("\n", " "))
 
 
-async def serve(config: Config, signals: ProcessSignals) -> None:
-    """Run until SIGTERM or SIGINT, then drain; SIGHUP reads the configuration anew."""
+async def serve(config: Config, signals: ProcessSignals, began: Callable[[], None]) -> None:
+    """Run until SIGTERM or SIGINT, then drain; SIGHUP reads the configuration anew.
+
+    `began` is called first of all: from then on the event loop is known to work.
+    """
+    began()
     network = LoopNetwork()
     log = LineLog(network.time)
     loop = asyncio.get_running_loop()
@@ -68,8 +75,7 @@
         lambda _, what: log(f"internal error: {what['message']}: {what.get('exception')!r}")
     )
     if signals.ended_at is not None:
-        log("told to end before the start: nothing was taken")
-        signals.ignore()
+        _called_off(signals, log)
         return
     end = asyncio.Event()
     sidecar = Sidecar(config, network, log, beside=Beside(os.environ.get("TMPDIR"), config.name))
@@ -81,7 +87,12 @@
     signals.attach(loop.call_soon_threadsafe, end.set, read_anew)
     keeper = MemoryKeeper(network, sidecar.memory, log, sidecar.count_memory)
     sidecar.on_memory_stage = keeper.told_stage
-    await sidecar.start()
+    try:
+        await sidecar.start(end.is_set)
+    except StartCalledOff:
+        sidecar.close()
+        _called_off(signals, log)
+        return
     door = sidecar.door
     staff = f", operators on {config.operator[0]}:{door.port}" if door and config.operator else ""
     how = ", decisions compiled" if IS_COMPILED else ""
@@ -96,6 +107,11 @@
     signals.ignore()
 
 
+def _called_off(signals: ProcessSignals, log: LineLog) -> None:
+    log("told to end before the start: nothing was taken")
+    signals.ignore()
+
+
 def check_memory(config: Config) -> None:
     """Raise ConfigError where the idle process takes more than the limit that it is given."""
     taken_mb = -(-anonymous_bytes() // MB)
@@ -106,17 +122,75 @@
         )
 
 
+def _wait(wait: StartWait, fault: OSError, text: str, signals: ProcessSignals) -> bool:
+    """Wait before the next try, and say so once; False: it can't pass.  Raises StartCalledOff."""
+    is_first = wait.is_first
+    retry_s = wait.retry_in_s(fault, time.monotonic())
+    if retry_s is None:
+        return False
+    if is_first:
+        print(f"waits to start: {text}", file=sys.stderr, flush=True)
+    if signals.ended_at is None:
+        time.sleep(retry_s)
+    if signals.ended_at is not None:
+        raise StartCalledOff
+    return True
+
+
+def _configuration(signals: ProcessSignals) -> Config:
+    """Read the configuration, and wait out a file that can't be read for a moment."""
+    wait = StartWait(time.monotonic())
+    while True:
+        try:
+            config = load(os.environ)
+            check_memory(config)
+            return config
+        except ConfigUnread as unread:
+            if not _wait(wait, unread.fault, str(unread), signals):
+                raise
+
+
+def _working_loop() -> asyncio.AbstractEventLoop:
+    """An event loop that was seen to run; raise OSError where the machine has no room for one.
+
+    A loop that fails as it begins to run can be neither run again nor closed: what it takes is tried first.
+    """
+    for each in socket.socketpair():
+        each.close()
+    loop = uvloop.new_event_loop()
+    loop.call_soon(loop.stop)
+    loop.run_forever()
+    return loop
+
+
+def _run_loop(config: Config, signals: ProcessSignals) -> None:
+    """Serve on an event loop, and wait out one that can't be made for a moment."""
+    wait = StartWait(time.monotonic())
+    has_begun = False
+
+    def began() -> None:
+        nonlocal has_begun
+        has_begun = True
+
+    while True:
+        try:
+            with asyncio.Runner(loop_factory=_working_loop) as runner:
+                runner.run(serve(config, signals, began))
+            return
+        except OSError as fault:
+            if has_begun or not _wait(wait, fault, f"event loop: {fault}", signals):
+                raise
+
+
 def run(signals: ProcessSignals) -> int:
     """Load the configuration and serve; give the exit code."""
     try:
-        config = load(os.environ)
-        check_memory(config)
+        _run_loop(_configuration(signals), signals)
     except ConfigError as fault:
         print(f"micadeck: config: {fault}".replace("\n", " "), file=sys.stderr)
         return EXIT_BAD_CONFIGURATION
-    try:
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config, signals))
+    except StartCalledOff:
+        print("told to end before the start: nothing was taken", file=sys.stderr)
     except OSError as fault:
         print(f"micadeck: can't listen: {fault}", file=sys.stderr)
         return EXIT_NO_START
--- a/micadeck/http/pipe.py
+++ b/micadeck/http/pipe.py
@@ -12,7 +12,7 @@
 
 MOST_KEPT = 64 << 10  # of a body, that is kept whole; a larger one is passed on while it comes
 _MOST_KEPT_WHEN_SHORT = 8 << 10
-_MOST_EACH = 64 << 10  # bytes that one pipe holds before its writer is paused
+_MOST_EACH = MOST_KEPT  # bytes that one pipe holds before its writer is paused
 _LEAST_EACH = 8 << 10
 
 
@@ -26,9 +26,12 @@
         self.held = 0  # bytes in all of them
 
     def most_kept(self) -> int:
-        """The largest body, in bytes, that is kept whole: less where memory is short."""
+        """The largest body, in bytes, that is kept whole: less where memory is short.
+
+        No more than a pipe may hold, since what was kept becomes the first that its pipe holds.
+        """
         is_short = self.memory is not None and self.memory.stage >= Stage.PASS_ON
-        return _MOST_KEPT_WHEN_SHORT if is_short else MOST_KEPT
+        return _MOST_KEPT_WHEN_SHORT if is_short else self.share()
 
     def share(self) -> int:
         """How much one pipe may hold now: less each, the more there are."""
--- a/micadeck/network/loop.py
+++ b/micadeck/network/loop.py
@@ -126,11 +126,11 @@
             self._socket.bind(address)
             self._socket.setblocking(False)
             self._socket.listen(_BACKLOG)
+            self.port = int(self._socket.getsockname()[1])
+            loop.add_reader(self._socket.fileno(), self._accept)
         except OSError:
             self._socket.close()
             raise
-        self.port = int(self._socket.getsockname()[1])
-        loop.add_reader(self._socket.fileno(), self._accept)
 
     @property
     def is_accepting(self) -> bool:
--- a/micadeck/operations/apart.py
+++ b/micadeck/operations/apart.py
@@ -36,9 +36,11 @@
 
     def listen(self, address: Address) -> None:
         """Raises OSError if the address is taken, or not this machine's."""
-        apart = self._apart = self._network.apart("micadeck-door")
-        door = self._door = Door(apart.network, _Across(self._network, self._sidecar))
-        apart.run(lambda: door.listen(address))
+        if self._apart is None or self._door is None:  # else listening is tried again
+            self._apart = self._network.apart("micadeck-door")
+            self._door = Door(self._apart.network, _Across(self._network, self._sidecar))
+        door = self._door
+        self._apart.run(lambda: door.listen(address))
 
     @property
     def port(self) -> int:
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -22,6 +22,7 @@
 from micadeck.network import Address, Network, place
 from micadeck.operations import Beside, Counts, DoorApart, LetGo, Life, OpenIds, Phase, report, share_of
 from micadeck.operations.margins import FLUSH_S, KILLED_AFTER_S, answered_by
+from micadeck.operations.starting import StartCalledOff, StartWait
 from micadeck.peers import Peers
 
 if TYPE_CHECKING:
@@ -295,8 +296,11 @@
 
         return MysqlService(config.mysql, network, config.seed, log)
 
-    async def start(self) -> None:
-        """Take up the last known list, then listen."""
+    async def start(self, is_ending: Callable[[], bool] = lambda: False) -> None:
+        """Take up the last known list, then listen, clients last.
+
+        Raises CannotListen once that can't pass, and StartCalledOff if the process is to end while it waits.
+        """
         await self._core.start()
         if self._beside is not None:
             self._beside.enter()
@@ -306,15 +310,36 @@
                 await self._network.sleep(_LOOK_BESIDE_S + _SHOWN_BESIDE_S)
             self._watching = self._network.spawn(self._watch_beside(self._beside))
         config = self._core.config
-        _listening("listen", config.listen, self.frontend.listen)
         if self.door is not None and config.operator is not None:
-            _listening("operator", config.operator, self.door.listen)
+            await self._listen("operator", config.operator, self.door.listen, is_ending)
+        await self._listen("listen", config.listen, self.frontend.listen, is_ending)
         if self.mysql is not None:
             self.mysql.start()
         self._started_at = self._network.time()
         self.life.started(self._started_at)
         self._live_on()
 
+    async def _listen(
+        self, key: str, address: Address, listen: Callable[[Address], None], is_ending: Callable[[], bool]
+    ) -> None:
+        """Listen at the address of this key, and wait out what fails for a moment."""
+        wait = StartWait(self._network.time())
+        while True:
+            try:
+                listen(address)
+                return
+            except OSError as fault:
+                is_first = wait.is_first
+                retry_s = wait.retry_in_s(fault, self._network.time())
+                told = f"{key}: {place(address)}: {fault}"
+            if retry_s is None:
+                raise CannotListen(told)
+            if is_first:
+                self._log(f"waits to listen: {told}")
+            await self._network.sleep(retry_s)
+            if is_ending():
+                raise StartCalledOff
+
     @property
     def open_requests(self) -> int:
         """Requests that are not over: unanswered, or with an attempt still out."""
@@ -511,10 +536,3 @@
 
 class CannotListen(OSError):
     """An address of the configuration is taken, or not this machine's; the text begins with its key."""
-
-
-def _listening(key: str, address: Address, listen: Callable[[Address], None]) -> None:
-    try:
-        listen(address)
-    except OSError as fault:
-        raise CannotListen(f"{key}: {place(address)}: {fault}") from None
--- a/tests/failing_start.py
+++ b/tests/failing_start.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import uvloop
@@ -19,6 +20,7 @@
     "listen": (socket.socket, "listen"),
     "setsockopt": (socket.socket, "setsockopt"),
     "getsockname": (socket.socket, "getsockname"),
+    "read": (Path, "read_bytes"),
     "loop": (uvloop, "new_event_loop"),  # its epoll descriptor and its own pipes
 }
 
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -36,6 +36,8 @@
     ("loop", errno.ENOMEM),
     ("loop", errno.ENOSPC),
     ("loop", errno.EMFILE),
+    ("read", errno.EMFILE),
+    ("read", errno.EIO),
 ]
 
 
@@ -73,6 +75,23 @@
     play(work)
 
 
+@pytest.mark.parametrize("what", [signal.SIGTERM, signal.SIGINT])
+@pytest.mark.parametrize(("call", "number"), [("bind", errno.ENOBUFS), ("loop", errno.EMFILE)])
+def test_a_start_that_waits_hears_its_end(
+    call: str, number: int, what: signal.Signals, tmp_path: Path
+) -> None:
+    async def work() -> None:
+        process = await begun(tmp_path, call, number, 60.0)
+        assert process.stderr is not None
+        assert os.strerror(number).encode() in await soon(process.stderr.readline())
+        began = time.monotonic()
+        process.send_signal(what)
+        assert await soon(process.wait()) == 0
+        assert time.monotonic() - began <= 1.0
+
+    play(work)
+
+
 def test_a_start_ends_at_once_where_there_is_no_such_address(tmp_path: Path) -> None:
     async def work() -> None:
         began = time.monotonic()
