Play endless answers and floods of headers in the soak, with memory and exit codes in its oracle

Need: the soak had no load that grows memory, and its oracle saw an exit code but not a limit that was passed.

Each process's anonymous memory is read ten times a second; over half of the limit (96 MB) breaks a rule.

--- a/tests/soak/soak_client.py
+++ b/tests/soak/soak_client.py
@@ -13,7 +13,7 @@
 import struct
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import cast
@@ -28,6 +28,18 @@
     b"POST /x HTTP/1.1\r\nHost: a\r\n",
     b"PRI * HTTP/2.0\r\n\r\n",
 )
+FLOODS = (
+    b"GET / HTTP/1.1\r\nHost: a\r\n" + b"a:\r\n" * 3_800,
+    b"GET / HTTP/1.1\r\nHost: a\r\n" + b"a:\r\n" * 90,
+    b"GET / HTTP/1.1\r\n\r\n" * 400,
+    b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 60000\r\n\r\n" + b"x" * 50_000,
+    b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + b"a:\r\n" * 3_800,
+)
+SENT: dict[Fault, Sequence[bytes]] = {
+    Fault.CROWD: (),
+    Fault.NONSENSE: NONSENSE,
+    Fault.HEADER_FLOOD: FLOODS,
+}  # by an idle or hostile crowd
 
 
 @dataclass(slots=True)
@@ -234,8 +246,8 @@
             return None
         return connection
 
-    async def crowd(self, begins_s: float, ends_s: float, count: int, data: bytes | None) -> None:
-        """So many connections that say nothing, or nonsense."""
+    async def crowd(self, begins_s: float, ends_s: float, count: int, sent: Sequence[bytes]) -> None:
+        """So many connections that each send one of these, or nothing."""
         await asyncio.sleep(max(self._start + begins_s - time.monotonic(), 0.0))
         ends = self._start + ends_s
         held = []
@@ -246,9 +258,9 @@
                 each.connect_ex((HOST, self.port))
                 held.append(each)
             await asyncio.sleep(0.05)
-            for each in held if data else []:
+            for each in held if sent else []:
                 try:
-                    each.send(self._drawn.choice(NONSENSE))
+                    each.send(self._drawn.choice(sent))
                 except OSError:
                     pass
             await asyncio.sleep(0.2)
@@ -268,10 +280,9 @@
     pools = [Pool(each, ports[each], plan, start) for each in mine]
     work = [pool.run() for pool in pools]
     for pool in pools:
-        for event in plan.of(Fault.CROWD, Fault.NONSENSE):
+        for event in plan.of(*SENT):
             if event.target == pool.sidecar:
-                data = b"" if event.fault is Fault.CROWD else b"x"
-                work.append(pool.crowd(event.begins_s, event.ends_s, int(event.figure), data))
+                work.append(pool.crowd(event.begins_s, event.ends_s, int(event.figure), SENT[event.fault]))
     await asyncio.gather(*work)
     await asyncio.sleep(max(DEADLINES_S.values()) + WAIT_BEYOND_S + 0.1)
     lag.cancel()
--- a/tests/soak/soak_oracle.py
+++ b/tests/soak/soak_oracle.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from soak_client import Asked
-from soak_plan import KILL_AFTER_LONGEST_S, LONGEST_S, MEMORY_S, NEW_CONNECTIONS_S, Fault, Kind, Plan
+from soak_plan import KILL_AFTER_LONGEST_S, LONGEST_S, MEMORY_S, NEW_CONNECTIONS_S, SHARED_ROOM, Kind, Plan
 from soak_server import Arrival
 
 LATE_S = 0.5  # beyond its time an answer earns nothing; later it is lost
@@ -19,6 +19,8 @@
 MEASURED_S = 0.03  # what the recording processes may be off by
 MEASURED_OVERLAP_S = 0.02
 SECOND_BOUND_S = 0.0095  # a second answer that comes later may be served (docs/design/reuse.md)
+MEMORY_LIMIT_MB = 96
+MOST_MEMORY_MB = 0.5 * MEMORY_LIMIT_MB  # of anonymous resident memory: far under the limit
 TOLD_LIST_S = 6.0  # a change of the list counts as told
 GRACE_S = 0.5 + 0.05 + 0.15  # of a drain, on sockets, with a hold-up
 
@@ -33,6 +35,7 @@
     kill_at: float = 0.0  # 0: it had ended by itself
     ended_at: float = 0.0
     code: int | None = None
+    peak_mb: float = 0.0  # of its anonymous resident memory
 
 
 @dataclass(slots=True)
@@ -57,6 +60,7 @@
     crossed: int = 0  # not read by the sidecar, which had closed the connection
     unjudged: int = 0  # a timing rule looked broken while the recorder itself was held up
     told_violations: int = 0  # that the program counted itself
+    peak_mb: float = 0.0  # of any sidecar
 
 
 class Oracle:
@@ -95,6 +99,7 @@
                     verdict.broken.append(broken)
         for ident in self.arrivals.keys() - known:
             verdict.broken.append(Broken("a request that no client sent", "", 0.0, ident))
+        verdict.peak_mb = max(life.peak_mb for life in self._lives)
         verdict.broken += self._of_lives()
         verdict.broken += self._of_drains()
         verdict.broken.sort(key=lambda each: each.at)
@@ -137,7 +142,7 @@
             return False
         if asked.place > 1:
             return True
-        crowded = any(each.target == asked.sidecar for each in self._plan.of(Fault.CROWD, Fault.NONSENSE))
+        crowded = any(each.target == asked.sidecar for each in self._plan.of(*SHARED_ROOM))
         return crowded or any(
             life.sidecar == asked.sidecar
             and life.term_at
@@ -218,6 +223,8 @@
         for life in self._lives:
             if life.code not in (0, None) and not life.kill_at:
                 yield Broken(f"crash: sidecar {life.sidecar} ended with {life.code}", "", life.ended_at)
+            if life.peak_mb > MOST_MEMORY_MB:
+                yield Broken(f"memory: sidecar {life.sidecar}", f"{life.peak_mb:.1f} MB", life.ended_at)
 
     def _of_drains(self) -> Iterator[Broken]:
         for server, drained_at, back_at in self._drains:
--- a/tests/soak/soak_plan.py
+++ b/tests/soak/soak_plan.py
@@ -50,6 +50,15 @@
     CLOCK_STEP = "clock step"  # the wall clock of the sidecars is stepped
     ACCEPT_ERRORS = "accept errors"  # accept fails now and then
     EARLY_SIGNALS = "early signals"  # SIGHUP in the first moments of a start
+    ENDLESS_ANSWER = "endless answer"  # servers give some answers whose heads or bodies' framing never end
+    HEADER_FLOOD = "header flood"  # clients send thousands of headers, or bodies by half, and stay
+
+
+FOR_MEMORY = (
+    Fault.ENDLESS_ANSWER,
+    Fault.HEADER_FLOOD,
+)  # drawn apart: the other faults of a seed stay as they were
+SHARED_ROOM = (Fault.CROWD, Fault.NONSENSE, Fault.HEADER_FLOOD)  # a client may find none left
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,10 +114,14 @@
         duration_s=duration_s,
         requests_per_s=drawn.uniform(60.0, 240.0),
     )
-    kinds = [each for each in Fault if only is None or each in only]
+    kinds = [each for each in Fault if each not in FOR_MEMORY and (only is None or each in only)]
     chosen = kinds if only is not None else drawn.sample(kinds, k=max(len(kinds) * 2 // 3, 1))
     for kind in chosen:
         plan.events += _draw_events(kind, plan, drawn)
+    drawn = random.Random(f"soak memory {seed}")
+    for kind in FOR_MEMORY:
+        if only is None or kind in only:
+            plan.events += _draw_events(kind, plan, drawn)
     plan.events.sort(key=lambda each: each.begins_s)
     return plan
 
@@ -117,7 +130,7 @@
     """The events of one kind of fault."""
     last_s = plan.duration_s - 1.0
     events = []
-    if kind in (Fault.HANG, Fault.SLOW, Fault.RESET):
+    if kind in (Fault.HANG, Fault.SLOW, Fault.RESET, Fault.ENDLESS_ANSWER):
         for server in drawn.sample(range(plan.servers), k=max(plan.servers // 3, 1)):
             begins_s = drawn.uniform(0.5, last_s)
             events.append(
@@ -146,7 +159,7 @@
             at_s = drawn.uniform(0.5, last_s)
             figure = drawn.choice([-3600.0, -5.0, -0.1, 0.1, 5.0, 3600.0])
             events.append(Event(kind, -1, at_s, at_s, figure))
-    elif kind in (Fault.CROWD, Fault.NONSENSE):
+    elif kind in SHARED_ROOM:
         begins_s = drawn.uniform(0.5, last_s)
         ends_s = begins_s + drawn.uniform(1.0, 4.0)
         events.append(Event(kind, drawn.randrange(plan.sidecars), begins_s, ends_s, drawn.randint(20, 160)))
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -22,10 +22,11 @@
 from pathlib import Path
 from typing import Any
 
-from soak_oracle import Life, Oracle, Verdict, kill_after_s
+from soak_oracle import MEMORY_LIMIT_MB, Life, Oracle, Verdict, kill_after_s
 from soak_plan import DEADLINES_S, HOST, MEMORY_S, REPEATS, Event, Fault, Kind, Plan, draw_plan
 from soak_server import LAG_S, Log
 
+from micadeck.standins.hostile.stage import anonymous_mb
 from micadeck.standins.roster import StandInRoster
 
 ROOT = Path(__file__).parent.parent.parent
@@ -33,6 +34,7 @@
 READY_WITHIN_S = 10.0
 SIGNAL_SPACING_S = 0.02
 LONGEST_HOLD_UP_S = 0.15
+MEMORY_EVERY_S = 0.1
 # As the deploy file begins the program: signals wait until it hears them.
 AS_DEPLOYED = "trap '' HUP; exec env --block-signal=HUP --block-signal=INT --block-signal=TERM \"$@\""
 SOCKETS = 256
@@ -97,6 +99,7 @@
         (self.folder / "clock").write_text("0")
         (self.folder / "ports.json").write_text(json.dumps([each.port for each in self._sidecars]))
         lag = asyncio.create_task(self._log.watch_lag())
+        memory = asyncio.create_task(self._watch_memory())
         for roster in self._rosters:
             await roster.start()
         self.start = time.monotonic() + 1.5
@@ -129,9 +132,18 @@
         for roster in self._rosters:
             roster.close()
         lag.cancel()
+        memory.cancel()
         self._log.save()
         return Oracle(self.folder, self.plan, self.lives, self.drains).judge()
 
+    async def _watch_memory(self) -> None:
+        while True:
+            for sidecar in self._sidecars:
+                life, process = sidecar.life, sidecar.process
+                if life is not None and process is not None and process.returncode is None:
+                    life.peak_mb = max(life.peak_mb, anonymous_mb(process.pid))
+            await asyncio.sleep(MEMORY_EVERY_S)
+
     async def _spawn(self, script: str, number: int) -> asyncio.subprocess.Process:
         return await asyncio.create_subprocess_exec(
             sys.executable, str(HERE / script), str(self.folder), str(number), str(self.start),
@@ -147,7 +159,7 @@
                 "listen": f"{HOST}:{sidecar.port}",
                 "discovery": roster.address,
                 "seed": f"{self.plan.seed * 100 + sidecar.number:x}",
-                "limits": {"cores": 1.0, "memory_mb": 96, "sockets": SOCKETS},
+                "limits": {"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": SOCKETS},
                 "settings": settings(),
             }
         )
@@ -327,7 +339,7 @@
         f"seed {played.plan.seed}: {played.plan.sidecars} sidecars, {verdict.asked} asked, "
         f"{verdict.served} served, {verdict.refused} refused, {verdict.failed} failed, "
         f"{verdict.crossed} crossed, {verdict.unjudged} unjudged, {len(verdict.broken)} broken, "
-        f"faults: {', '.join(faults)}"
+        f"{verdict.peak_mb:.1f} MB at most, faults: {', '.join(faults)}"
     ]
     lines += [f"  {count} x {rule}" for rule, count in rules.most_common()]
     if verdict.broken and is_full:
--- a/tests/soak/soak_server.py
+++ b/tests/soak/soak_server.py
@@ -19,6 +19,16 @@
 LARGE_PIECES = 2_000  # an answer that is passed on as it comes
 MEAN_WORK_S = 0.008
 SECOND_WITHIN_S = 0.008  # of the answer, where a second one follows
+# What never ends, after the begin of an answer: a head, a trailer, a chunk's extension.
+ENDLESS = (
+    (b"HTTP/1.1 200 OK\r\n", b"x-fill: 0123456789\r\n"),
+    (b"HTTP/1.1 200 OK\r\n", b"a:\r\n"),
+    (b"HTTP/1.1 200 OK\r\nx-fill: ", b"v"),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nx: ", b"v"),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=", b"e"),
+)
+ENDLESS_AT_ONCE = 64 << 10  # bytes
+ENDLESS_EVERY_S = 0.002
 LAG_STEP_S = 0.01
 LAG_S = 0.02  # the event loop was held up when a step takes so much longer
 
@@ -148,9 +158,23 @@
         if reset is not None and drawn.random() < reset.figure:
             loop.call_later(drawn.uniform(0.0, 0.05), self._reset, arrival)
             return
+        endless = server.fault(Fault.ENDLESS_ANSWER)
+        if endless is not None and drawn.random() < endless.figure:
+            first, piece = drawn.choice(ENDLESS)
+            self._go_on(first, piece * (ENDLESS_AT_ONCE // len(piece)))
+            return
         takes_s = drawn.expovariate(1.0 / MEAN_WORK_S) + (slow.figure if slow else 0.0)
         loop.call_later(takes_s, self._answer, arrival)
 
+    def _go_on(self, first: bytes, more: bytes) -> None:
+        """Write on until the other side ends the connection."""
+        transport = self._transport
+        if transport is None or transport.is_closing() or not self._open:
+            return
+        if first or not transport.get_write_buffer_size():
+            transport.write(first + more)
+        asyncio.get_running_loop().call_later(ENDLESS_EVERY_S, self._go_on, b"", more)
+
     def _reset(self, arrival: Arrival) -> None:
         if arrival in self._open and self._transport is not None:
             self._open.remove(arrival)
