--- a/micadeck/network/loop.py
+++ b/micadeck/network/loop.py
@@ -50,13 +50,18 @@
     return time.time_ns() // 1_000
 
 
+def socket_of(transport: asyncio.BaseTransport) -> Any:
+    """The socket of a transport, to look at; raise OSError where the system does not tell it."""
+    return transport.get_extra_info("socket")
+
+
 class LoopStream:
     """The socket of an asyncio transport."""
 
     __slots__ = ("_poll", "_socket")
 
     def __init__(self, transport: asyncio.BaseTransport) -> None:
-        self._socket = transport.get_extra_info("socket")
+        self._socket = socket_of(transport)
         self._poll = select.poll()
         self._poll.register(self._socket.fileno(), select.POLLIN)
 
