Leave nobody waiting where getsockname fails or a callback raises

At fault: connection_made of ClientSide and ClientConnection, which let an OSError of network.stream pass into the event loop: the connection stayed open, without a reader and in no list; ClientConnection.is_usable, whose assertion then ended the dial's task, and Upstream, which never ended the attempt of a dial that raised; buffer_updated, where an exception made the event loop close the connection under a request.

Change: the socket is asked for up to five times; a client's connection that still has none is closed unread, a server's fails its dial. A defect in a dial ends its attempt, one as a request is read is one answer 500; both are told as `internal error`. MySQL's links go on without it.

--- a/micadeck/engine/engine.py
+++ b/micadeck/engine/engine.py
@@ -293,6 +293,10 @@
         finally:
             self._is_handling = False
 
+    def defect(self, text: str) -> None:
+        """Tell of a defect that a front met, and lived on after."""
+        self._log(f"internal error: {text}")
+
     def _defect(self, event: Event, fault: Exception) -> None:
         """Live on after a defect in the decisions, and owe nobody an answer because of it."""
         self._log(f"internal error: {type(event).__name__}: {fault!r}")
--- a/micadeck/http/client.py
+++ b/micadeck/http/client.py
@@ -86,8 +86,7 @@
         """
         if self._closed or self._transport is None or self._transport.is_closing() or self._ended is not None:
             return False
-        assert self._stream is not None
-        return not self._stream.has_unread()
+        return self._stream is not None and not self._stream.has_unread()
 
     def exchange(
         self,
@@ -152,8 +151,8 @@
         if sending is not None:
             sending.drop()
         if self._transport is not None and not self._closed:
-            assert self._stream is not None
-            self._stream.shut(drops=drops)
+            if self._stream is not None:
+                self._stream.shut(drops=drops)
             self._transport.abort()
         self._report_closed()
 
@@ -163,7 +162,10 @@
         # uvloop's class is none of asyncio's, so there is nothing to check.
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=0)  # pause_writing then means: something is unwritten
-        self._stream = self._network.stream(transport)
+        try:
+            self._stream = self._network.stream(transport)
+        except OSError:
+            self._transport.abort()  # without it nobody can tell whether it is usable
 
     def pause_writing(self) -> None:
         self._unwritten = True
--- a/micadeck/http/frontend.py
+++ b/micadeck/http/frontend.py
@@ -268,13 +268,26 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's class is none of asyncio's, so there is nothing to check.
         self._transport = cast(asyncio.Transport, transport)
-        self._stream = self._frontend.network.stream(transport)
+        try:
+            self._stream = self._frontend.network.stream(transport)
+        except OSError:
+            self.state = State.ENDING  # nobody could tell whether its client has left: it is closed unread
+            self._transport.abort()
+            return
         self._frontend.opened(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return self._frontend.buffer
 
     def buffer_updated(self, nbytes: int) -> None:
+        try:
+            self._read(nbytes)
+        except Exception as defect:
+            # Guards against a connection that the event loop closes for it, its request without an answer.
+            self._frontend.engine.defect(f"a client's connection: {defect!r}")
+            self.reject(500)
+
+    def _read(self, nbytes: int) -> None:
         now = self._frontend.network.time()
         if self.state is State.ENDING:
             self.heard_at = now
--- a/micadeck/http/upstream.py
+++ b/micadeck/http/upstream.py
@@ -198,7 +198,7 @@
             self._write_if_allowed(call, server, connection)
         elif self._has_room():
             self._dialling += 1
-            task = self._network.spawn(self._dial(call, server))
+            task = self._network.spawn(self._dial_or_end(call, server))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         else:
@@ -289,6 +289,14 @@
 
     # Connections
 
+    async def _dial_or_end(self, call: Call, server: _Server) -> None:
+        """Guards against an attempt that never ends: a defect in its dial fails it, and is told."""
+        try:
+            await self._dial(call, server)
+        except Exception:
+            self._end(call, Outcome.DIAL_FAILED)
+            raise
+
     async def _dial(self, call: Call, server: _Server) -> None:
         outcome = Outcome.DIAL_FAILED
         connection: ClientConnection | None = None
--- a/micadeck/mysql/link.py
+++ b/micadeck/mysql/link.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -185,7 +186,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport  # type: ignore[assignment]
-        self._stream = self._network.stream(transport)
+        with contextlib.suppress(OSError):  # without it, its end is only seen where it is read
+            self._stream = self._network.stream(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._ended()
--- a/micadeck/network/loop.py
+++ b/micadeck/network/loop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import os
 import select
@@ -24,6 +25,7 @@
 _LONGEST_RETRY_S = 0.02
 _RETRY_CLOSING_S = 0.005
 _LAST_TRIES = 40
+_STREAM_TRIES = 5
 # Of Linux's struct tcp_info: `tcpi_last_data_recv`, behind eight bytes and eleven numbers of 32 bits.
 _LAST_RECEIVED_AT = 8 + 11 * 4
 _LAST_RECEIVED_MS = struct.Struct("=I")
@@ -101,6 +103,14 @@
             pass  # the peer was quicker
 
 
+def _stream(transport: asyncio.BaseTransport) -> LoopStream:
+    """The socket of a transport; it is asked for anew where the system fails to tell it for a moment."""
+    for _ in range(_STREAM_TRIES - 1):
+        with contextlib.suppress(OSError):
+            return LoopStream(transport)
+    return LoopStream(transport)
+
+
 class LoopListener:
     """Accepts a few connections at a time; the rest wait in the kernel.
 
@@ -220,7 +230,7 @@
         super().__init__(asyncio.get_running_loop())
         self.now = Clock().now
         self.wall = wall
-        self.stream = LoopStream
+        self.stream = _stream
 
     def apart(self, name: str) -> Apart:
         from micadeck.network.apart import LoopApart  # nothing of it is loaded where it is not asked for
--- a/micadeck/network/port.py
+++ b/micadeck/network/port.py
@@ -144,4 +144,5 @@
     async def datagrams(self, make: Callable[[], asyncio.DatagramProtocol], address: Address) -> None:
         """Hear datagrams at an address that a further process may share."""
 
-    def stream(self, transport: asyncio.BaseTransport) -> Stream: ...
+    def stream(self, transport: asyncio.BaseTransport) -> Stream:
+        """The socket under a transport; raise OSError where the system does not tell it."""
