Bound a MySQL dial with its log-in by the time in which the process itself came round

At fault: Carrier._dial, whose timeout of the wall clock fired while the answers lay unread behind a late event loop; the server was counted as failed and the attempt was used up. Now within_own_time. The statement's own deadline bounds it as before.

--- a/micadeck/mysql/carrier.py
+++ b/micadeck/mysql/carrier.py
@@ -23,6 +23,7 @@
 from micadeck.mysql.session import Handle, Session, must_reset, put
 from micadeck.mysql.statements import Statement
 from micadeck.network import Address, Network, Timer
+from micadeck.network.own_time import within_own_time
 
 _OWN_FAULTS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 _PING = bytes((Command.PING,))
@@ -366,8 +367,8 @@
     async def _dial(self, name: str, home: _Server, found_rows: bool, call: Call | None) -> Link | None:
         outcome, link = Outcome.DIAL_FAILED, None
         try:
-            async with self._network.timeout(self._dial_within_s):
-                link = await Link.open(lambda: self._new_link(name, found_rows), self._network, home.address)
+            opening = Link.open(lambda: self._new_link(name, found_rows), self._network, home.address)
+            link = await within_own_time(self._network, self._dial_within_s, opening)
         except LoginFailed as fault:
             self._log(f"mysql: log-in at {name} failed: {fault}")
             if fault.error is not None and fault.error.code in FULL_AT_LOGIN:
