Trim again after a pause, and make room by who holds a place for longest without a request

A first trim had met memory in use and took it for what would stay: what was free later was never asked back. And with 560 clients that drip their heads a well-behaved one beside them was served 1 of 10: no half-sent request there gets to be 1 s old, so those who had just connected went first.

Change: MemoryKeeper trims again after 1 s, up to 8 s while trims give back less than 1 MB. Frontend._make_room closes, of those without a whole request, the one whose connection is the oldest.

--- a/micadeck/http/frontend.py
+++ b/micadeck/http/frontend.py
@@ -36,7 +36,6 @@
 _MOST_BEHIND = 8 << 10  # bytes read on behind an open request, so that the client's end behind them is seen
 _HEALTH = b"/_health"
 _LONGEST_UNREAD_S = 60.0  # more is nonsense
-_HALF_SENT_SPARED_S = 1.0  # by those who connect where there is no room
 _TURN_SPARE_S = 0.002  # guards against a timer that fires early: it would fire in vain
 
 
@@ -711,6 +710,11 @@
         """Connections on which only a part of a request has come, the one that is at it for longest first."""
         return (each for each in self._by_state[State.READING] if not each.has_whole_request)
 
+    def _longest_without_request(self) -> list[ClientSide]:
+        """Of those that have sent no whole request, the one that has held its place for longest."""
+        first = [*islice(self._by_state[State.SILENT], 1), *islice(self._half_sent(), 1)]
+        return [min(first, key=lambda each: each.since)] if first else []
+
     @property
     def half_sent(self) -> int:
         """Connections on which a request has come in part."""
@@ -754,9 +758,7 @@
                 (each for each in self._by_state[State.RESTING] if each.is_idle),
                 # Guards those who have just connected against clients that hold all the room with requests
                 # that never end.
-                (each for each in self._half_sent() if each.since <= now - _HALF_SENT_SPARED_S),
-                self._by_state[State.SILENT],
-                self._half_sent(),
+                self._longest_without_request(),
                 # Not taken yet, since its last byte has not come: guards against bodies that come for ever.
                 self._by_state[State.UPLOADING],
                 # Its last answer has not left: last of all, and not before it had its time.
--- a/micadeck/memory/keeper.py
+++ b/micadeck/memory/keeper.py
@@ -13,6 +13,8 @@
 LOOK_EVERY_S = 0.25
 _TRIM_AT_MB = 4  # resident beyond what is booked and the idle process, before it is given back
 _TRIM_EVERY_S = 1.0
+_TRIM_LEAST_EVERY_S = 8.0  # where trims give back little: what is resident may be in use for now
+_WORTH_MB = 1  # of a trim
 _YOUNG = 1  # the generations that a collection looks at: the rest was frozen at the start
 _TENTHS = 10
 
@@ -34,7 +36,7 @@
         self._count = count
         self._timer: Timer | None = None
         self._trimmed_at = 0.0
-        self._kept = 0  # resident bytes that nobody booked and the last trim left
+        self._trim_every_s = _TRIM_EVERY_S
         self._due = 0.0
         self._tenth = 0  # of the limit, the highest that was told
 
@@ -67,19 +69,24 @@
         self._later()
 
     def _is_worth_a_trim(self) -> bool:
-        """Guards against trimming over and over what is in use, though nobody books it."""
-        self._kept = min(self._kept, self._account.unaccounted)
-        is_due = self._network.time() - self._trimmed_at >= _TRIM_EVERY_S
-        return is_due and self._account.unaccounted - self._kept > _TRIM_AT_MB * MB
+        is_due = self._network.time() - self._trimmed_at >= self._trim_every_s
+        return is_due and self._account.unaccounted > _TRIM_AT_MB * MB
 
     def _give_back(self) -> int:
-        """Have the allocator give free memory back to the system; give the resident memory after."""
+        """Have the allocator give free memory back to the system; give the resident memory after.
+
+        Guards against trimming over and over what is in use, though nobody books it: each trim that gives
+        back little is followed by a longer pause.
+        """
         self._trimmed_at = self._network.time()
+        before = self._account.resident
         gc.collect(_YOUNG)
         trim_heap()
         resident = anonymous_bytes()
         self._account.saw_resident(resident)
-        self._kept = self._account.unaccounted
+        is_worth = before - resident >= _WORTH_MB * MB
+        pause_s = _TRIM_EVERY_S if is_worth else 2.0 * self._trim_every_s
+        self._trim_every_s = min(pause_s, _TRIM_LEAST_EVERY_S)
         return resident
 
     def _tenth_of(self, resident: int) -> int:
