Bound a probe's answer by 64 KiB, and refuse nobody of a library's host for memory

Seen by reading, for the table of docs/design/memory.md: a probe's answer had the bound of all answers, 33 MiB, and is kept, since nobody takes it as it comes. And Core, which the library shares, let booked answers lead to refusals: the library keeps large answers whole.

Change: an exchange may bound its answer further; probes do, by 64 KiB. The account rations the daemon alone.

--- a/micadeck/http/client.py
+++ b/micadeck/http/client.py
@@ -94,16 +94,18 @@
         ended: Ended,
         on_written: Callable[[], None] = lambda: None,
         begin: Callable[[Response], bool] | None = None,
+        most_body: int | None = None,
     ) -> None:
         """Write a request; `ended` is called exactly once, but never from within this call.
 
         `on_written` is called once its last byte is written, if that comes to pass.  `begin` gets the head
         of an answer that is too large to be kept, before `ended`, and says whether anybody takes the body.
+        `most_body` bounds the answer's body further, in bytes.
         """
         assert self._transport is not None and self._ended is None
         self._ended = ended
         self._passed = 0
-        self._reader.expect(begin)
+        self._reader.expect(begin, most_body)
         self._transport.write(request.encode())
         if request.stream is not None:
             self._on_written = on_written
--- a/micadeck/http/h1.py
+++ b/micadeck/http/h1.py
@@ -325,13 +325,14 @@
         self._parser = httptools.HttpResponseParser(self)
         self.expect()
 
-    def expect(self, begin: Callable[[Response], bool] | None = None) -> None:
-        """The answer to a further request is due.
+    def expect(self, begin: Callable[[Response], bool] | None = None, most_body: int | None = None) -> None:
+        """The answer to a further request is due, with a body of so many bytes at most, or the usual bound.
 
         Should it be too large to be kept, `begin` gets its head and its body's stream, and says whether
         anybody takes it.  Without that, it is kept.
         """
         self._begin = begin
+        self._most_due = self._most_body if most_body is None else min(most_body, self._most_body)
         self.response: Response | None = None  # once it is whole
         self.is_spoilt = False
         self._part: _Part | None = None
@@ -370,7 +371,7 @@
             lengths = self._part.values(b"content-length")
             codings = [each.lower() for each in self._part.values(b"transfer-encoding")]
             bounded = codings == [b"chunked"] or status in (204, 304)
-            bounded = bounded or (bool(lengths) and int(lengths[0]) <= self._most_body)
+            bounded = bounded or (bool(lengths) and int(lengths[0]) <= self._most_due)
             if not bounded and not lengths and not codings:
                 self._to_the_end = bounded = self._says_close()
         if not bounded and self.response is None:
@@ -382,7 +383,7 @@
         part = self._part
         self._framing.went_on()
         part.size += len(body)
-        if part.size > self._most_body:
+        if part.size > self._most_due:
             self.is_spoilt = True
         elif part.stream is not None:
             part.stream.put(body)
--- a/micadeck/http/upstream.py
+++ b/micadeck/http/upstream.py
@@ -14,7 +14,7 @@
 from micadeck.http.client import BEYOND_TIME_S, ClientConnection, Failure
 from micadeck.http.h1 import MOST_BODY, Request, Response
 from micadeck.http.incoming import Incoming
-from micadeck.http.pipe import Budget
+from micadeck.http.pipe import MOST_KEPT, Budget
 from micadeck.http.reuse import ReuseDelay
 from micadeck.network import Address, Network, Timer
 
@@ -280,7 +280,9 @@
         call.connection = connection
         message = call.message(max(call.until - self._network.now(), 1_000))
         if call.is_probe:
-            connection.exchange(message, ended)
+            connection.exchange(
+                message, ended, most_body=MOST_KEPT
+            )  # its answer is kept: nobody waits for it
         else:
             connection.exchange(message, ended, self._count_try, call.begun if call.begin else None)
 
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -98,7 +98,6 @@
         assert source is not None  # the configuration has one of them
         self.peers = Peers(network, config.peers, config.peers_all, settings.me)
         self.engine = make_engine(settings, config.seed, network, self.upstream, source, self.peers, log)
-        self.engine.memory = self.memory
         self.fleet = self._with_fleet(config, source.doubt)
         self.recorder = self._recorded(config) if config.trace else None
         self.recording = self._with_records(config) if config.records else None
@@ -277,6 +276,7 @@
         self.frontend = Frontend(config.settings, client_limits, self._engine, network, self._core.budget)
         self.frontend.most = self._core.for_clients
         self.frontend.on_settings = self._core.retune
+        self._engine.memory = self._core.memory  # a host's own memory is not this library's to ration
         self._core.memory.on_stage = self._relieve_soon
         self.mysql = self._with_mysql(config, network, log)
         self.life = Life()
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -100,3 +100,16 @@
         reader.feed(whole * 20 + whole[:-4])
         reader.feed(whole[-4:])
     assert reader.fault is None and len(reader.requests) == 200 * 21
+
+
+@pytest.mark.parametrize(
+    "raw", [OK + b"content-length: 34000000\r\n\r\n", CHUNKED + b"20000\r\n" + b"x" * 131_072]
+)
+def test_an_answer_that_may_only_be_small_is_spoilt_before_it_is_kept(raw: bytes) -> None:
+    reader = ResponseReader(64 << 20)
+    reader.expect(most_body=64 << 10)
+    reader.feed(raw)
+    assert reader.is_spoilt
+    reader = ResponseReader(64 << 20)
+    reader.feed(raw)
+    assert not reader.is_spoilt
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -9,10 +9,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from loopback import OK, play, reply, request, stage, until
+from test_program import GOOD
 
+from magpiemux.interface import Outcome
+from micadeck.config import parse
 from micadeck.memory.account import ENTERED_AT_BOOKED, LEFT_AT, Kind, MemoryAccount, Stage
 from micadeck.memory.keeper import MemoryKeeper
 from micadeck.memory.resident import MB
+from micadeck.network import LoopNetwork
+from micadeck.sidecar import Core
 
 LIMIT = 100 * MB
 
@@ -237,3 +242,28 @@
     while resident[0] > at(0.1) and clock.time() - freed_at <= 8.5:
         keeper._look()
     assert resident[0] == at(0.1)
+
+
+def test_a_probe_that_is_answered_with_34_mb_is_cut_off_at_its_head() -> None:
+    async def work() -> None:
+        ended: list[object] = []
+        async with stage(b"HTTP/1.1 200 OK\r\nContent-Length: 34000000\r\n\r\n" + b"x" * 100_000) as scene:
+            carrier = scene.sidecar._core.upstream
+            began = carrier._network.time()
+            until_us = carrier._network.now() + 5_000_000
+            carrier.probe("s-0", until_us, lambda outcome, *_: ended.append(outcome))
+            await until(lambda: bool(ended))
+            assert ended == [Outcome.SPOILT]
+            assert carrier._network.time() - began < 0.2  # by its head, not by its stall of 0.25 s
+            assert scene.sidecar.memory.booked[Kind.ANSWERS] == 0
+
+    play(work)
+
+
+def test_the_library_refuses_nobody_for_its_hosts_memory() -> None:
+    async def work() -> None:
+        core = Core(parse(GOOD), LoopNetwork(), lambda _: None)
+        assert core.engine.memory is None
+        core.close()
+
+    play(work)
