Count headers, framing and requests at less cost

At fault: two calls and an exception handler for each header (RequestReader.on_header), a call for each step of a message (FramingCount.went_on), and three bookings a request (Frontend.holds in buffer_updated, _taken and let_go).

Change: headers are kept where the parser calls; a flag in place of a call; a request that comes whole is booked once, after it was taken.

--- a/micadeck/http/framing.py
+++ b/micadeck/http/framing.py
@@ -15,28 +15,26 @@
 
 
 class FramingCount:
-    """Counts bytes that were read in a row and brought a message no further."""
+    """Counts bytes that were read in a row and brought a message no further.
 
-    __slots__ = ("_bytes", "_has_gone_on")
+    `has_gone_on` is set by whoever sees, in the read at hand, a message begin or end, or a part of a body: an
+    attribute, since that is several times for each message.  Guards a peer that sends many messages ahead:
+    those before the one at hand are no part of it.
+    """
 
-    def __init__(self) -> None:
-        self._bytes = 0
-        self._has_gone_on = False
-
-    @property
-    def pending(self) -> int:
-        """Bytes read that brought the message no further: a header without its end, most of all."""
-        return self._bytes
+    __slots__ = ("has_gone_on", "pending")
 
-    def went_on(self) -> None:
-        """Take note that, in the read at hand, a message began or ended, or brought a part of its body.
-
-        Guards a peer that sends many messages ahead: those before the one at hand are no part of it.
-        """
-        self._has_gone_on = True
+    def __init__(self) -> None:
+        self.has_gone_on = False
+        self.pending = (
+            0  # bytes read that brought the message no further: a header without its end, most of all
+        )
 
     def read(self, count: int) -> bool:
         """Take note of a read of so many bytes, once it is used up; say whether it is still bounded."""
-        self._bytes = 0 if self._has_gone_on else self._bytes + count
-        self._has_gone_on = False
-        return self._bytes <= MOST_HEAD
+        if self.has_gone_on:
+            self.has_gone_on = False
+            self.pending = 0
+            return True
+        self.pending += count
+        return self.pending <= MOST_HEAD
--- a/micadeck/http/frontend.py
+++ b/micadeck/http/frontend.py
@@ -219,7 +219,7 @@
             self.heard_at = self._frontend.network.time()  # reading was held up until now
             self._frontend.moved(self, State.READING)
             self._frontend.holds(self, self._reader.cost)
-            self._frontend.network.call_soon(self._advance)
+            self._frontend.network.call_soon(self._advance_and_hold)
         elif not self._is_writing_paused:
             self._resume_reading()
 
@@ -296,8 +296,7 @@
         self.came += nbytes
         self._reader.feed(bytes(self._frontend.buffer[:nbytes]), self._arrived_at(now))
         if self._upload is None:
-            self._frontend.holds(self, self._at_hand + self._reader.cost)
-            self._advance()
+            self._advance_and_hold()
         else:
             self._go_on_uploading()
         behind = self._reader.has_part or self._reader.requests or self._reader.fault is not None
@@ -328,7 +327,7 @@
         if self._download is not None and self._download.stream is not None:
             self._download.stream.unblock()
         if self._download is None:
-            self._advance()
+            self._advance_and_hold()
 
     def eof_received(self) -> None:
         self._gone()
@@ -462,6 +461,12 @@
                 self._resume_reading()
                 return
 
+    def _advance_and_hold(self) -> None:
+        """Read on, then count what that left here: once, after a request that came whole was taken."""
+        self._advance()
+        if self._upload is None and self.state is not State.ENDING:
+            self._frontend.holds(self, self._at_hand + self._reader.cost)
+
     def _pause_reading(self) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._is_reading_paused = True
@@ -482,7 +487,6 @@
         else:
             self._frontend.moved(self, State.SERVING)
             self._at_hand = request.cost + OPEN_REQUEST_COST
-            self._frontend.holds(self, self._at_hand + self._reader.cost)
         if request.target == _HEALTH:
             if self._frontend.is_healthy:
                 self.answer(200, [], b"ready\n")
@@ -693,6 +697,8 @@
 
     def _held_by(self, connection: ClientSide, cost: int) -> None:
         more = cost - connection.held
+        if not more:
+            return
         connection.held = cost
         self._held += more
         if self.budget.memory is not None:
--- a/micadeck/http/h1.py
+++ b/micadeck/http/h1.py
@@ -96,21 +96,13 @@
     stream: Pipe | None = None
     has_head: bool = False
     trailers: int = 0
-    head_bytes: int = 0  # once its head is whole, of names, values and the target
-
-    def add_header(self, name: bytes, value: bytes) -> None:
-        """Keep a header and count a trailer; raise TooManyHeaders beyond what either may have."""
-        if self.has_head:
-            self.trailers += 1  # and it is passed over
-            if self.trailers > MOST_HEADERS:
-                raise TooManyHeaders
-        else:
-            if len(self.headers) >= MOST_HEADERS:
-                raise TooManyHeaders
-            # Blanks behind a value are none of it (RFC 9112, 5.1); the parser leaves them there.
-            if value and value[-1] <= _BLANK:
-                value = value.rstrip(b" \t")
-            self.headers.append((name.lower(), value))
+    head_bytes: int = 0  # once its head is whole, of values and the target
+
+    def has_trailer(self) -> None:
+        """Count a trailer, which is passed over; raise TooManyHeaders beyond what a message may have."""
+        self.trailers += 1
+        if self.trailers > MOST_HEADERS:
+            raise TooManyHeaders
 
     @property
     def cost(self) -> int:
@@ -147,12 +139,26 @@
         return self._part is not None
 
     def on_message_begin(self) -> None:
-        self._framing.went_on()
+        self._framing.has_gone_on = True
         self._part = _Part()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self._part is not None:
-            self._part.add_header(name, value)
+        part = self._part
+        if part is None:
+            return
+        if part.has_head:
+            part.has_trailer()
+            return
+        if len(part.headers) >= MOST_HEADERS:
+            self._has_too_many_headers()
+            raise TooManyHeaders  # so that the parser reads no further
+        # Blanks behind a value are none of it (RFC 9112, 5.1); the parser leaves them there.
+        if value and value[-1] <= _BLANK:
+            value = value.rstrip(b" \t")
+        part.headers.append((name.lower(), value))
+
+    def _has_too_many_headers(self) -> None:
+        """Take note of why reading ends; what can't be read is a fault in any case."""
 
 
 class RequestReader(_Reader):
@@ -210,12 +216,8 @@
         if not self._framing.read(len(data)):
             self._turn_away(431)
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        try:
-            super().on_header(name, value)
-        except TooManyHeaders:
-            self._turn_away(431)
-            raise  # so that the parser reads no further
+    def _has_too_many_headers(self) -> None:
+        self._turn_away(431)
 
     def _turn_away(self, status: int) -> None:
         if self.fault is None:
@@ -231,18 +233,19 @@
         part = self._part
         if part is None or self.fault is not None:
             return
-        self._framing.went_on()
+        self._framing.has_gone_on = True
         part.has_head = True
         lengths, codings, expects = [], [], []
-        part.head_bytes = len(part.target)
+        size = len(part.target)
         for name, value in part.headers:  # one look for all: it is made for every request
-            part.head_bytes += len(name) + len(value)
+            size += len(value)
             if name == b"content-length":
                 lengths.append(value)
             elif name == b"transfer-encoding":
                 codings.append(value)
             elif name == b"expect":
                 expects.append(value)
+        part.head_bytes = size
         part.version = self._parser.get_http_version()
         if part.version not in ("1.0", "1.1"):
             self._turn_away(505)
@@ -257,7 +260,7 @@
         if self._part is None or self.fault is not None:
             return
         part = self._part
-        self._framing.went_on()
+        self._framing.has_gone_on = True
         part.size += len(body)
         if part.size > self._most_body:
             self._turn_away(413)
@@ -278,7 +281,7 @@
 
     def on_message_complete(self) -> None:
         part, self._part = self._part, None
-        self._framing.went_on()
+        self._framing.has_gone_on = True
         self.awaits_continue = False
         if part is None or self.fault is not None:
             return
@@ -359,7 +362,7 @@
     def on_headers_complete(self) -> None:
         if self._part is None:
             return
-        self._framing.went_on()
+        self._framing.has_gone_on = True
         self._part.has_head = True
         status = self._parser.get_status_code()
         if status < 200:
@@ -381,7 +384,7 @@
         if self._part is None or self.is_spoilt or self.response is not None:
             return
         part = self._part
-        self._framing.went_on()
+        self._framing.has_gone_on = True
         part.size += len(body)
         if part.size > self._most_due:
             self.is_spoilt = True
@@ -445,7 +448,7 @@
 
     def on_message_complete(self) -> None:
         part, self._part = self._part, None
-        self._framing.went_on()
+        self._framing.has_gone_on = True
         status = self._parser.get_status_code()
         if part is None or self.is_spoilt or self.response is not None or status < 200:
             return
