Put a library's settings in force again when its host puts them back

Callers saw: a host that reloads A, B, A stays on B's settings, with `reloaded` in the log each time. Played with maxOpen 100, 1, 100 and eight calls at once: 8, 1 and again 1 of them served, the rest refused.

Cause: Runtime.reload put the settings in force, which stores them in its configuration, and then stored the plan over it, whose settings are the former ones; so the second A compared equal and changed nothing. The daemon's settings come into force after reload has returned, so it was not affected.

Why this works: the plan is stored first, and apply_settings, which alone puts settings in force, is the last to write the configuration's settings.

--- a/micadeck/runtime.py
+++ b/micadeck/runtime.py
@@ -217,8 +217,9 @@
         self.peers.set_peers(config.peers, config.peers_all)
         if self.fleet is not None and config.fleet is not None:
             self.fleet.reload(config.fleet)
-        (announce or self.apply_settings)(plan.settings)
         self.config = plan.config
+        # Last: settings that are in force at once become part of the configuration.
+        (announce or self.apply_settings)(plan.settings)
         self._divide_limits()
         self._log_reload(config, plan.restart_keys)
 
