Compare MySQL's reloaded static list with the one in force

Operators saw: a MySQL file that is reloaded with list A, B, A leaves B in force, so statements go to servers that the file no longer names; the log says `mysql: reloaded`.

Cause: MysqlService.reload compared with the list of the start, which it never replaced.

Why this works: Static owns the list in force and compares with that.

--- a/micadeck/mysql/service.py
+++ b/micadeck/mysql/service.py
@@ -39,6 +39,9 @@
         """There is nobody to ask."""
 
     def replace(self, listing: EndpointUpdate) -> None:
+        """Put another list in force, unless it is."""
+        if listing.entries == self._listing.entries:
+            return
         self._listing = EndpointUpdate(self._listing.version + 1, True, listing.entries)
         self._on_list(self._listing)
 
@@ -114,7 +117,7 @@
             rules = ""
             self.front.routes = self._routes(config)
         self.users.replace(config.users)
-        if self._static is not None and config.known != before.known:
+        if self._static is not None:
             self._static.replace(config.known)
         waits = f"; only a restart takes up {', '.join(kept)}{rules}" if kept else ""
         self._log(f"mysql: reloaded: {len(config.users)} users{waits}")
