Keep MySQL's static list while the source that replaces it waits for a restart

Callers saw: after a reload from `servers.static` to `servers.roster` or `servers.consul`, every statement is refused until a restart.

Cause: the new file's static list is empty and was put in force, while the roster is only taken up by a restart.

Why this works: a file without a static list leaves the one in force alone.

--- a/micadeck/mysql/service.py
+++ b/micadeck/mysql/service.py
@@ -117,7 +117,8 @@
             rules = ""
             self.front.routes = self._routes(config)
         self.users.replace(config.users)
-        if self._static is not None:
+        # A file without a static list has another source of servers, which waits for a restart.
+        if self._static is not None and config.known.entries:
             self._static.replace(config.known)
         waits = f"; only a restart takes up {', '.join(kept)}{rules}" if kept else ""
         self._log(f"mysql: reloaded: {len(config.users)} users{waits}")
--- a/tests/test_mysql_reload.py
+++ b/tests/test_mysql_reload.py
@@ -39,3 +39,11 @@
             service.reload(config)
             counts.append(service.engine.known_servers)
     assert counts == [3, 1, 1, 3]
+
+
+@played
+async def test_a_static_list_stays_while_a_roster_waits_for_a_restart() -> None:
+    """Against a reload that drops every server, though it can't take up what is to list them."""
+    with _running(_listing("m-0", "m-1")) as service:
+        service.reload(configured("127.0.0.1:1"))
+        assert service.engine.known_servers == 2
