Check a library's reload against the configuration in force, not the first one

Hosts saw: a reload that lost a key which an earlier reload had brought is taken instead of rejected; requests are checked by the new settings and sent by the old, and only a log line tells ("posted work failed").

Cause: Micadeck.reload checked against the configuration that the balancer was made with, while the runtime, on its own thread, checks against the one in force and rejects it there. Evidence: the new test on the commit before: "DID NOT RAISE ConfigError", and the log line above.

Why this works: the library remembers the configuration that it handed over last; a lock keeps two reloads from crossing.

--- a/micadeck/library/balancer.py
+++ b/micadeck/library/balancer.py
@@ -87,11 +87,13 @@
             ConfigError: If the configuration is invalid; it names the key.
         """
         self._config = read_config(config)
+        self._running_config = self._config  # with what reloads have changed
         self._validator = RequestValidator(self._config.settings)
         self._log_forwarder = LogForwarder(logging.getLogger("micadeck")) if log is None else None
         self._log = log or self._log_forwarder
         self._background: BackgroundLoop | None = None
         self._start_lock = threading.Lock()
+        self._reload_lock = threading.Lock()
 
     def start(self) -> None:
         """Start the engine's thread, and return once requests are accepted; once started, do nothing.
@@ -181,9 +183,12 @@
             ConfigError: If it is invalid; the current one stays in force.
         """
         new_config = read_config(config)
-        new_config.check_replaces(self._config)
-        self._require_started().reload(new_config)
-        self._validator = RequestValidator(new_config.settings)
+        background = self._require_started()
+        with self._reload_lock:
+            new_config.check_replaces(self._running_config)
+            background.reload(new_config)
+            self._running_config = new_config
+            self._validator = RequestValidator(new_config.settings)
 
     async def request(  # noqa: PLR0913, RUF100  the public signature: one keyword for each option
         self,
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -513,3 +513,14 @@
                 time.sleep(1.2 * MIN_REUSE_DELAY_US / 1e6)
                 assert balancer.call("check", "/api/2").kind is Kind.SERVED
             assert new.heard() and any(each.startswith("reloaded") for each in lines)
+
+
+def test_a_reload_that_lost_a_key_of_the_running_configuration_is_rejected() -> None:
+    """Against a check by the first configuration: the caller is told, and nothing is taken over in part."""
+    lines: list[str] = []
+    with world(1) as there, Micadeck(there.config(), log=lines.append) as balancer:
+        balancer.reload(there.config(maxOpen=100))
+        with pytest.raises(ConfigError, match=r"^settings\.bounds\.maxOpen: it is missing"):
+            balancer.reload(there.config())
+        assert balancer.call("check", "/api/1").kind is Kind.SERVED
+    assert not [each for each in lines if "internal error" in each]
