Let a library's close wait as long as the deadlines that a reload brought

Callers saw: after a reload to longer deadlines, a close of the balancer answers 504 to requests that have time left and whose server answers in it.

Cause: BackgroundLoop computed the longest deadline once, from the first configuration.

Why this works: a reload lengthens the wait; it never shortens, as open requests keep the time they came with.

--- a/micadeck/library/background_loop.py
+++ b/micadeck/library/background_loop.py
@@ -114,7 +114,7 @@
         self._is_up = threading.Event()
         self._on_end: list[Callable[[], object]] = []
         self._thread = threading.Thread(target=self._run, name="micadeck-engine", daemon=True)
-        self.longest_deadline_s = max(each.deadline_us for each in config.settings.classes) / 1e6
+        self._longest_deadline_s = _longest_deadline_s(config)  # of any open request, whatever it came by
 
     @property
     def open_requests(self) -> int:
@@ -194,6 +194,7 @@
         """Apply another configuration."""
         assert self._runtime is not None
         assert self._inbox is not None
+        self._longest_deadline_s = max(self._longest_deadline_s, _longest_deadline_s(config))
         self._inbox.post(self._runtime.reload, config)
 
     def stop(self, on_end: Callable[[], object] | None = None) -> None:
@@ -213,7 +214,7 @@
 
     def join(self) -> bool:
         """Wait for the thread's end, for the longest deadline and a margin; False if it has not ended."""
-        self._thread.join(self.longest_deadline_s + _JOIN_MARGIN_S)
+        self._thread.join(self._longest_deadline_s + _JOIN_MARGIN_S)
         return not self._thread.is_alive()
 
     def _take_back(self, pending: PendingRequest) -> bool:
@@ -264,7 +265,7 @@
         self._is_up.set()
         try:
             await self._stop_requested.wait()
-            await core.drain(self.longest_deadline_s)
+            await core.drain(self._longest_deadline_s)
         finally:
             core.close()
         await asyncio.sleep(0)  # connections close in a later round of the loop
@@ -287,3 +288,8 @@
     def _disconnect(self, pending: PendingRequest) -> None:
         if pending.engine_id is not None and self._runtime is not None:
             self._runtime.engine.client_disconnected(pending.engine_id)
+
+
+def _longest_deadline_s(config: Config) -> float:
+    """Return the longest time that a request of this configuration may have."""
+    return max(each.deadline_us for each in config.settings.classes) / 1e6
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -8,6 +8,7 @@
 import time
 from collections import Counter
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
@@ -30,7 +31,11 @@
 
 
 def _balancer(there: WorldProcess, **bounds: Any) -> Micadeck:
-    return Micadeck(there.config(**bounds), log=_quiet)
+    return _balancer_of(there.config(**bounds))
+
+
+def _balancer_of(config: dict[str, Any]) -> Micadeck:
+    return Micadeck(config, log=_quiet)
 
 
 def _descriptors() -> set[str]:
@@ -524,3 +529,19 @@
             balancer.reload(there.config())
         assert balancer.call("check", "/api/1").kind is Kind.SERVED
     assert not [each for each in lines if "internal error" in each]
+
+
+def test_a_request_with_a_deadline_that_a_reload_made_longer_is_answered_through_a_close() -> None:
+    """Against a drain by the deadlines of the start, which fails what has still time."""
+    with world(1) as there:
+        longer = there.config()
+        shorter = there.config()
+        shorter["settings"]["lanes"] = [{**each, "giveUpUs": 300_000, "promiseUs": 100_000} for each in CLASSES]
+        there.do("mode", "s-0", mode="serves", takes_s=0.8)
+        with _balancer_of(shorter) as balancer, ThreadPoolExecutor(1) as pool:
+            balancer.reload(longer)
+            calling = pool.submit(balancer.call, "lodge", "/api/1")
+            while not there.heard():
+                time.sleep(0.01)
+            balancer.close()
+            assert calling.result().kind is Kind.SERVED
