--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -536,7 +536,9 @@
     with world(1) as there:
         longer = there.config()
         shorter = there.config()
-        shorter["settings"]["lanes"] = [{**each, "giveUpUs": 300_000, "promiseUs": 100_000} for each in CLASSES]
+        shorter["settings"]["lanes"] = [
+            {**each, "giveUpUs": 300_000, "promiseUs": 100_000} for each in CLASSES
+        ]
         there.do("mode", "s-0", mode="serves", takes_s=0.8)
         with _balancer_of(shorter) as balancer, ThreadPoolExecutor(1) as pool:
             balancer.reload(longer)
