Record requests that complete late, so that the decisions hear of them

Callers saw: on a sidecar that records a trace, a request with a body over what is kept, whose server hangs, has no answer in its time: with 0.5 s, none within 20 s. The log says "internal error: RequestCompleted: KeyError".

Cause: traces/format.py has no kind for RequestCompleted; the recorder stands before the decisions and raises, so they never hear that the request is complete and its time stays that of its transfer.

Why this works: the event has the next free kind, behind the others, so stored traces are read as before.

test_stored_data asserted that the stored trace holds as many kinds as there are (9).

--- a/micadeck/traces/format.py
+++ b/micadeck/traces/format.py
@@ -24,6 +24,7 @@
     MessageReceived,
     ProbeEnded,
     RequestArrived,
+    RequestCompleted,
     ServersListed,
     SettingsChanged,
     TimerFired,
@@ -42,6 +43,7 @@
     ProbeEnded,
     MessageReceived,
     SettingsChanged,
+    RequestCompleted,
 )
 _WITH_SETTINGS = (RequestArrived, SettingsChanged)  # a class of requests, or all settings
 _PLACES = {kind: place for place, kind in enumerate(KINDS)}
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -23,12 +23,15 @@
 from micadeck.fleet.messages import Message
 from micadeck.incidents.frames import MARK, Encoder, read
 from micadeck.peer_datagrams import PeerDatagrams
+from micadeck.policy.events import Event, RequestCompleted
 from micadeck.traces.format import KINDS, decode, encode
 
 FIXTURES = Path(__file__).parent / "fixtures"
 RECORDS = sorted((FIXTURES / "records").glob("*.records"))
 FLEET: dict[str, Any] = json.loads((FIXTURES / "fleet_messages.json").read_text())
 MESSAGES: list[dict[str, Any]] = FLEET["messages"]
+_KINDS_IN_STORED_TRACE = 9
+_LATER_KINDS = [(RequestCompleted(7, 2), "9405090702")]  # as recorded at 5 us, in MessagePack
 
 
 def _output(monkeypatch: pytest.MonkeyPatch, *arguments: str) -> str:
@@ -88,11 +91,23 @@
     decoded = [[now, KINDS.index(type(event)), by_position(event)] for now, event in trace.events]
     assert len(decoded) == expected["count"]
     assert {kind for _, kind, _ in decoded} == {kind for _, kind, _ in expected["events"]}
-    assert {kind for _, kind, _ in expected["events"]} == set(range(9)) == set(range(len(KINDS)))
+    assert {kind for _, kind, _ in expected["events"]} == set(range(_KINDS_IN_STORED_TRACE))
     for each in expected["events"]:
         assert each in decoded
 
 
+@pytest.mark.parametrize(("event", "record"), _LATER_KINDS)
+def test_a_kind_that_came_after_the_stored_trace_keeps_its_form(event: Event, record: str) -> None:
+    stored = decode((FIXTURES / "decisions.trace").read_bytes())
+    data = encode(stored.settings, stored.seed, [(5, event)])
+    assert gzip.decompress(data).endswith(bytes.fromhex(record))
+    assert decode(data).events == [(5, event)]
+
+
+def test_each_kind_of_event_has_a_stored_form() -> None:
+    assert KINDS[_KINDS_IN_STORED_TRACE:] == tuple(type(event) for event, _ in _LATER_KINDS)
+
+
 def test_a_stored_trace_is_written_again_byte_for_byte() -> None:
     data = (FIXTURES / "decisions.trace").read_bytes()
     trace = decode(data)
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -2,24 +2,27 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import shutil
+import time
 from pathlib import Path
-from typing import Any
+from typing import Any, get_args
 
 import pytest
 from click.testing import CliRunner
 from helpers import MS, S, Stage, settings
 from hypothesis import example, given
 from hypothesis import strategies as st
-from loopback import OK, play, stage
+from loopback import OK, play, played, read_head, request, stage
+from test_bodies import LARGE, beside, content, read_body
 
 from micadeck.cli import main
 from micadeck.policy import Balancer
 from micadeck.policy.actions import Action, Send
 from micadeck.policy.events import Event, ListedServer, RequestArrived, RequestCompleted, TimerFired
 from micadeck.policy.outcomes import Outcome
-from micadeck.traces.format import Encoder, TraceError, decode, encode
+from micadeck.traces.format import KINDS, Encoder, TraceError, decode, encode
 from micadeck.traces.record import Recorder
 from micadeck.traces.replay import compare, spans, totals
 
@@ -200,3 +203,26 @@
 def test_a_request_that_completes_late_is_recorded() -> None:
     encoder = Encoder(settings(), seed=1)
     assert encoder.add(1, RequestCompleted(7, 2)) > 0
+
+
+@played
+async def test_a_large_request_is_answered_in_its_time_while_a_trace_is_recorded(tmp_path: Path) -> None:
+    """Against a recorder that fails on an event and so keeps it from the decisions."""
+
+    async def hang(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, number: int) -> None:
+        _, headers = await read_head(reader)
+        await read_body(reader, headers)
+        await reader.read()  # until the sidecar ends the connection
+
+    async with beside(hang, given={"trace": str(tmp_path / "day.trace")}) as (_, scene):
+        client = await scene.client()
+        started = time.monotonic()
+        client.send(request("lodge", timeout="0.5", body=content(LARGE)))
+        assert (await client.answer()).status == 504
+        assert time.monotonic() - started < 2.0
+        assert not [line for line in scene.log if "internal error" in line]
+
+
+def test_each_kind_of_event_has_its_place_in_a_trace() -> None:
+    """Against an event that is new to the decisions and unknown to the recorder."""
+    assert set(KINDS) == set(get_args(Event)) and len(KINDS) == len(get_args(Event))
