End a recording that goes wrong itself, and let events and actions pass

Callers would see: with `trace` or `records` on, any exception of the recording leaves a request without an answer.

Cause: both recorders stand between the engine and the decisions and let their own exceptions through, so an event is not decided on, or its actions are not carried out.

--- a/micadeck/incidents/observer.py
+++ b/micadeck/incidents/observer.py
@@ -126,7 +126,11 @@
 
 
 class Observer:
-    """Stands before a balancer."""
+    """Stands before a balancer.
+
+    Attributes:
+        defect: What went wrong as a record was made, after which nothing is observed any more.
+    """
 
     def __init__(
         self, balancer: Decides, settings: Settings, look: LooksOn, sidecar: str, start: str
@@ -140,6 +144,7 @@
         self._waiting: list[Record] = []
         self._attempts = self._omitted = 0
         self._since: int | None = None
+        self.defect: Exception | None = None
         self._take_up(settings)
 
     def _take_up(self, settings: Settings) -> None:
@@ -162,7 +167,16 @@
     # What the engine calls
 
     def handle(self, now: int, event: Any) -> list[Action]:
+        """Pass an event on, and note what came of it; the actions never depend on that."""
         actions = self._balancer.handle(now, event)
+        if self.defect is None:
+            try:
+                self._note(now, event, actions)
+            except Exception as error:
+                self.defect = error
+        return actions
+
+    def _note(self, now: int, event: Any, actions: list[Action]) -> None:
         kind = type(event)
         if kind is AttemptEnded:
             self._ended(now, event)
@@ -176,7 +190,6 @@
                 self._sent(now, action)  # type: ignore[arg-type]
             elif done in _DONE:
                 _DONE[done](self, now, action)
-        return actions
 
     def _arrived(self, now: int, event: RequestArrived) -> None:
         of_class = self._classes.get(event.service_class) or self._class(event.service_class)
--- a/micadeck/incidents/recording.py
+++ b/micadeck/incidents/recording.py
@@ -31,6 +31,7 @@
         self._sidecar = sidecar
         self._start = f"{network.now():016x}"
         self._rotation = Rotation(limits, sidecar, self._start)
+        self._log = log
         self._writer = Writer(folder, self._rotation, log)
         self._encoder = Encoder()
         self._observer: Observer | None = None
@@ -62,6 +63,11 @@
         self._timer = self._network.call_later(_SPAN_S, self._tick)
 
     def _tick(self) -> None:
+        defect = self._observer.defect if self._observer is not None else None
+        if defect is not None:
+            self._log(f"records: recording ends: {defect!r}")
+            self._timer = None
+            return
         self._write(max(int((self._network.time() - self._due) * 1e6), 0))
         if self._writer.is_over:
             self._timer = None  # and the observer goes on counting what nobody reads: a few numbers
@@ -69,7 +75,7 @@
             self._wait()
 
     def _write(self, lag_us: int) -> None:
-        if self._observer is None:
+        if self._observer is None or self._observer.defect is not None:
             return
         now, wall = self._network.now(), self._network.wall()
         later, self._later = self._later, []
--- a/micadeck/traces/record.py
+++ b/micadeck/traces/record.py
@@ -15,7 +15,7 @@
 
 
 class Recorder:
-    """Stands before a balancer.  A file that can't be written ends the recording, never the daemon."""
+    """Stands before a balancer.  Whatever goes wrong ends the recording, and costs the balancer no event."""
 
     def __init__(
         self, balancer: Balancer, settings: Settings, seed: int, path: Path, log: Callable[[str], None]
@@ -28,8 +28,9 @@
         log(f"trace: recording to {path}")
 
     def handle(self, now: int, event: Event) -> list[Action]:
-        if not self._file.closed and self._encoder.add(now, event) >= _AT_ONCE:
-            self._write()
+        """Record an event, and pass it on."""
+        if not self._file.closed:
+            self._record(now, event)
         return self._balancer.handle(now, event)
 
     def close(self) -> None:
@@ -37,6 +38,22 @@
             self._write(last=True)
             self._file.close()
 
+    def _record(self, now: int, event: Event) -> None:
+        try:
+            waiting = self._encoder.add(now, event)
+        except Exception as error:
+            # What was recorded before stays readable.
+            self._write(last=True)
+            self._end(f"{type(event).__name__}: {error!r}")
+            return
+        if waiting >= _AT_ONCE:
+            self._write()
+
+    def _end(self, reason: str) -> None:
+        if not self._file.closed:
+            self._log(f"trace: recording ends: {reason}")
+            self._file.close()
+
     def _write(self, *, last: bool = False) -> None:
         data = self._encoder.take(last=last)
         try:
@@ -44,6 +61,5 @@
             self._written += len(data)
             if self._written > _MOST_BYTES:
                 raise OSError(f"over {_MOST_BYTES} bytes")
-        except OSError as fault:
-            self._log(f"trace: recording ends: {fault}")
-            self._file.close()
+        except OSError as error:
+            self._end(str(error))
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from pathlib import Path
 from typing import Any
+from unittest import mock
 from zlib import crc32
 
 import pytest
@@ -71,6 +72,18 @@
     assert observer.take(scene.now, 0, 0)[:-1] == []  # nothing is told twice
 
 
+@played
+async def test_a_defect_of_the_records_ends_them_and_costs_no_request(tmp_path: Path) -> None:
+    """Against a recording whose own defect takes the decisions' actions from the engine."""
+    async with stage(OK, ERROR, given={"records": str(tmp_path)}) as scene:
+        engine = scene.sidecar._runtime.engine
+        with mock.patch.object(engine, "request_id", side_effect=ZeroDivisionError):
+            for _ in range(20):
+                assert (await scene.ask("check")).status == 200
+        await until(lambda: scene.log[-1] == "records: recording ends: ZeroDivisionError()")
+        assert not [line for line in scene.log if "internal error" in line]
+
+
 def test_states_of_servers_are_told_as_they_change_and_again_at_the_head_of_each_segment() -> None:
     scene, observer = watched()
     scene.servers(["a", "b", "c"])
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -20,7 +20,14 @@
 from micadeck.cli import main
 from micadeck.policy import Balancer
 from micadeck.policy.actions import Action, Send
-from micadeck.policy.events import Event, ListedServer, RequestArrived, RequestCompleted, TimerFired
+from micadeck.policy.events import (
+    Event,
+    ListedServer,
+    MessageReceived,
+    RequestArrived,
+    RequestCompleted,
+    TimerFired,
+)
 from micadeck.policy.outcomes import Outcome
 from micadeck.traces.format import KINDS, Encoder, TraceError, decode, encode
 from micadeck.traces.record import Recorder
@@ -226,3 +233,21 @@
 def test_each_kind_of_event_has_its_place_in_a_trace() -> None:
     """Against an event that is new to the decisions and unknown to the recorder."""
     assert set(KINDS) == set(get_args(Event)) and len(KINDS) == len(get_args(Event))
+
+
+def test_an_event_that_cannot_be_recorded_ends_the_recording_and_reaches_the_decisions(
+    tmp_path: Path,
+) -> None:
+    """Against a recorder whose own defect costs the decisions an event."""
+    log: list[str] = []
+    day = _day(20)
+    path = tmp_path / "trace"
+    recorder = Recorder(Balancer(settings(), 7), settings(), 7, path, log.append)
+    for now, event in day.heard:
+        recorder.handle(now, event)
+    now = day.heard[-1][0]
+    unknown: Any = MessageReceived(0, object())  # type: ignore[arg-type]
+    assert recorder.handle(now, unknown) == recorder.handle(now, TimerFired("0")) == []
+    assert log[1:] == [line for line in log if line.startswith("trace: recording ends: MessageReceived: ")]
+    assert len(log) == 2 and decode(path.read_bytes()).events == day.heard
+    recorder.close()
