End a MySQL connection quietly where a packet meets a log-in just given up

Operators saw: "Fatal error on transport" with a traceback, for dials that are given up as the server answers.

Cause: such a dial cancels the log-in's future; its clean-up comes a round later. A packet in between ends the connection, and _ended asked the cancelled future for its exception, which raises CancelledError out of data_received, before the owner was told.

Why this works: a cancelled future is not asked. Other futures that are asked were read; they are guarded.

--- a/micadeck/mysql/server_connection.py
+++ b/micadeck/mysql/server_connection.py
@@ -284,8 +284,8 @@
         self._is_closed = True
         if not self._logged_in.done():
             self._logged_in.set_exception(LoginFailed("the server closed the connection"))
-        # Nobody may be waiting any more, and that is no fault.
-        self._logged_in.exception()
+        if not self._logged_in.cancelled():
+            self._logged_in.exception()  # nobody may be waiting any more, and that is no fault
         exchange, self._exchange = self._exchange, None
         if exchange is not None and not exchange.over.done():
             exchange.over.set_exception(Lost(written=True))
