Wait out an event loop that fails as it begins to serve

Callers saw: a sidecar that starts while the system refuses epoll_ctl for a moment ends with code 3, "Cannot close a running event loop", where every other passing fault of a start is waited out.

Cause: a loop of uvloop that fails as it begins to run stays marked as running. The first, empty run guards against that; where the second, which serves, fails, asyncio.Runner closes the loop, which raises and hides the OSError.

Why this works: such a loop is left to the end of the process, and the start waits and makes another.

--- a/micadeck/daemon.py
+++ b/micadeck/daemon.py
@@ -171,22 +171,32 @@
 
 
 def _run_loop(config: Config, signals: ProcessSignals) -> None:
-    """Serve on an event loop; retry while one can't be made."""
+    """Serve on an event loop; retry while one can't be made, or fails as it begins to run."""
     retry = StartupRetry(time.monotonic())
     has_run = False
+    abandoned: list[asyncio.Runner] = []  # a loop that failed as it began can't be closed
 
     def on_loop_running() -> None:
         nonlocal has_run
         has_run = True
 
     while True:
+        runner = asyncio.Runner(loop_factory=_new_event_loop)
         try:
-            with asyncio.Runner(loop_factory=_new_event_loop) as runner:
-                runner.run(serve(config, signals, on_loop_running))
+            runner.get_loop()  # makes it
+            runner.run(serve(config, signals, on_loop_running))
         except OSError as error:
-            if has_run or not _wait_for_retry(retry, error, f"event loop: {error}", signals):
+            if has_run:
+                runner.close()
                 raise
+            abandoned.append(runner)
+            if not _wait_for_retry(retry, error, f"event loop: {error}", signals):
+                raise
+        except BaseException:
+            runner.close()
+            raise
         else:
+            runner.close()
             return
 
 
--- a/tests/shim/failing_calls.c
+++ b/tests/shim/failing_calls.c
@@ -5,6 +5,8 @@
    SHIM_SHARE  in so many of 1000 calls, by a seeded draw
    SHIM_SEED   of that draw
    SHIM_UNTIL  seconds after the start of the process; later no call fails
+
+   `fail_from_now` makes each such call fail for a span, from within the process.
 */
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -43,6 +45,11 @@
     until = now() + number("SHIM_UNTIL", 1e9);
 }
 
+void fail_from_now(double seconds) {
+    share = 1000;
+    until = now() + seconds;
+}
+
 static int fails(const char *call) {
     if (!failing_call || strcmp(call, failing_call) || now() >= until)
         return 0;
--- a/tests/shim/test_failing_calls.py
+++ b/tests/shim/test_failing_calls.py
@@ -8,13 +8,17 @@
 
 import asyncio
 import errno
+import json
 import os
 import shutil
+import signal
 import subprocess
+import sys
 from pathlib import Path
 
 import pytest
-from loopback import play
+from loopback import play, soon
+from test_program import GOOD, ROOT
 
 from micadeck.stand_ins.hostile.daemon_under_load import Daemon, is_served
 from micadeck.stand_ins.hostile.loads import LOADS
@@ -68,3 +72,33 @@
             assert "internal error" not in daemon.log
 
     play(work)
+
+
+@pytest.mark.parametrize("number", [errno.ENOMEM, errno.ENOSPC], ids=errno.errorcode.get)
+def test_a_start_waits_out_a_loop_that_fails_as_it_begins(number: int, shim: Path, tmp_path: Path) -> None:
+    """Against an end with code 3: a loop that failed as it began can be neither run again nor closed."""
+    config = tmp_path / "config.json"
+    config.write_text(json.dumps(GOOD))
+    faults = {"LD_PRELOAD": str(shim), "SHIM_CALL": "epoll_ctl", "SHIM_ERRNO": str(number)}
+    paths = {"BALANCER_CONFIG": str(config), "TMPDIR": str(tmp_path), "PYTHONPATH": str(ROOT)}
+
+    async def work() -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(SOURCE.parent / "failing_begin.py"),
+            str(shim),
+            "1.0",
+            cwd=ROOT,
+            env={**os.environ, **faults, **paths},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        assert process.stderr is not None
+        waits, serves = [(await soon(process.stderr.readline())).decode() for _ in range(2)]
+        assert waits == f"waits to start: event loop: [Errno {number}] {os.strerror(number)}\n"
+        assert "serves on" in serves
+        process.send_signal(signal.SIGTERM)
+        ended = (await soon(process.stderr.read())).decode()
+        assert ended == "draining\ndrained\nended: code 0, told by SIGTERM\n"
+        assert await soon(process.wait()) == 0
+
+    play(work)
