Give a new client the place of one that takes nothing of its answer

Callers saw: while a few hundred clients hold every place with large answers of which they take nothing, every other client is closed unread, for up to 15 s.

Cause: a connection to which an answer is due was never closed to make room.

Why this works: last of all kinds, the connection whose client has taken nothing for longest gives way, after 2 s at least, the time that a request may stand still. Who takes something, however slowly, keeps its place.

--- a/micadeck/http/connection_table.py
+++ b/micadeck/http/connection_table.py
@@ -183,7 +183,7 @@
     # Making room
 
     def _make_room(self) -> bool:
-        """Close the connection that is missed least, never one to which an answer is due.
+        """Close the connection that is missed least, never one whose client takes the answer that is due.
 
         Returns:
             Whether there was one.
@@ -210,10 +210,21 @@
             self._oldest_without_request(),
             # Its last byte has not come, so no server began it: guards against bodies that come for ever.
             by_state[ConnectionState.UPLOADING],
-            # Its last answer has not left: last of all, and not before it had its time.
+            # Its last answer has not left: late, and not before it had its time.
             (each for each in by_state[ConnectionState.CLOSING] if each.since <= unsent_since),
+            # Guards against clients that ask for large answers and take nothing of them: last of all.
+            self._longest_blocked(unsent_since),
         )
 
+    def _longest_blocked(self, blocked_before: float) -> list[DownstreamConnection]:
+        """Of those that have taken nothing of their answer since then, the one that did so for longest."""
+        blocked = [
+            (each.blocked_since, number, each)
+            for number, each in enumerate(self._by_state[ConnectionState.SERVING])
+            if each.blocked_since is not None and each.blocked_since <= blocked_before
+        ]
+        return [min(blocked)[2]] if blocked else []
+
     def _oldest_without_request(self) -> list[DownstreamConnection]:
         """The oldest of those that have sent no complete request."""
         first = [*islice(self._by_state[ConnectionState.NEW], 1), *islice(self._partial(), 1)]
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -5,6 +5,7 @@
 import asyncio
 import hashlib
 import socket
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from functools import partial
@@ -428,6 +429,52 @@
             client.close()
 
 
+@played
+async def test_clients_that_take_nothing_of_their_answers_give_way_to_a_new_one() -> None:
+    """Against a few clients that hold every place, so that all others are shut out."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, number: int) -> None:
+        line, _ = await read_head(reader)
+        size = LARGE if "large" in line else 6
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + bytes(size))
+        await reader.read()  # until the sidecar ends the connection
+
+    limits = DownstreamLimits(stall_s=0.4)
+    async with beside(serve, given={"limits": {"sockets": 64}}, client_limits=limits) as (_, scene):
+        connections = scene.sidecar.frontend.connections
+        taking_nothing = [await asks_and_takes_nothing(scene) for _ in range(connections.max_connections)]
+        began = time.monotonic()
+        while not await is_served(scene):
+            assert time.monotonic() - began < 5.0
+            await asyncio.sleep(0.05)
+        assert len(connections) >= connections.max_connections - 1  # one place was enough
+        for each in taking_nothing:
+            each.close()
+
+
+async def asks_and_takes_nothing(scene: Stage) -> socket.socket:
+    """A client that asks for a large answer, and never reads."""
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    client.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(client, (HOST, scene.sidecar.frontend.port))
+    await loop.sock_sendall(client, request("check", timeout="3.0", target="/large"))
+    return client
+
+
+async def is_served(scene: Stage) -> bool:
+    """Whether a request on a connection of its own is served."""
+    client = await scene.client()
+    try:
+        client.send(request("check"))
+        return (await client.answer()).status == 200
+    except (ConnectionError, asyncio.IncompleteReadError):
+        return False
+    finally:
+        client.close()
+
+
 @played
 async def test_a_client_that_goes_amid_its_answer_ends_the_servers_work() -> None:
     ended = asyncio.Event()
