--- a/micadeck/http/connection_table.py
+++ b/micadeck/http/connection_table.py
@@ -216,14 +216,15 @@
             self._longest_blocked(unsent_since),
         )
 
-    def _longest_blocked(self, blocked_before: float) -> list[DownstreamConnection]:
+    def _longest_blocked(self, blocked_before: float) -> Iterator[DownstreamConnection]:
         """Of those that have taken nothing of their answer since then, the one that did so for longest."""
         blocked = [
             (each.blocked_since, number, each)
             for number, each in enumerate(self._by_state[ConnectionState.SERVING])
             if each.blocked_since is not None and each.blocked_since <= blocked_before
         ]
-        return [min(blocked)[2]] if blocked else []
+        if blocked:
+            yield min(blocked)[2]
 
     def _oldest_without_request(self) -> list[DownstreamConnection]:
         """The oldest of those that have sent no complete request."""
