Count a redirect to a location that can't be parsed as a failed call of Consul's

Operators saw: one redirect to a location such as `http://[::1` ends the watch of a service for good; its last list stays in force and no line of ours tells.

Cause: redirect_target lets urlsplit's ValueError through where it promises RedirectError, and the watch only counts ConsulError as a failed call.

Why this works: the location is a redirect that can't be followed, so the watch backs off and calls again.

--- a/micadeck/membership/consul/protocol.py
+++ b/micadeck/membership/consul/protocol.py
@@ -208,7 +208,10 @@
     """
     if response.status not in _REDIRECT_STATUSES:
         return None
-    location = urlsplit((response.header(b"location") or b"").decode("latin-1"))
+    try:
+        location = urlsplit((response.header(b"location") or b"").decode("latin-1"))
+    except ValueError as error:
+        raise RedirectError(str(error)) from None
     if location.scheme != "http":
         reason = "http is needed"
         raise RedirectError(reason)
--- a/tests/test_consul_client.py
+++ b/tests/test_consul_client.py
@@ -93,6 +93,7 @@
         (Fault("hang"), "no answer in time"),
         (Fault("trickle"), "no answer in time|breaks off"),
         (Fault("redirect", to="consul.local:8500"), "sent on"),
+        (Fault("redirect", to="[::1"), "sent on"),  # against a location that no URL parser takes
     ],
     ids=lambda each: each.kind if isinstance(each, Fault) else "",
 )
--- a/tests/test_consul_source.py
+++ b/tests/test_consul_source.py
@@ -197,3 +197,19 @@
 
 async def _until_used(listener: Listener, count: int) -> None:
     await until(lambda: len(listener.used()) == count)
+
+
+def test_a_redirect_to_nowhere_costs_one_call_and_not_the_watch() -> None:
+    """Against a watch that ends without a word, its last list in force for ever."""
+
+    async def work() -> None:
+        agent = await StandInConsul().start()
+        listener = Listener(agent)
+        agent.faults.append(Fault("redirect", to="[::1"))
+        await until(lambda: bool(listener.failures))
+        await until(lambda: listener.lists > 0)
+        assert "can't be called" in listener.failures[0]
+        listener.watch.close()
+        agent.stop()
+
+    play(work)
