Let watches and timers outlive an exception that nobody foresaw

Operators would see: after one unforeseen exception, a watch of Consul or of discovery never calls again and its last list stays in force; the timers that close late clients and sample memory, and the look for other processes of the sidecar, are gone until a restart.

Cause: each is begun once, and goes on only by its own last line.

Change: a watch counts such an exception as a failed call, logs `internal error` and reads the whole list anew, as the answer may have been taken over in part; the look for processes logs it and goes on; timers are set again before their work.

--- a/micadeck/http/connection_timeouts.py
+++ b/micadeck/http/connection_timeouts.py
@@ -28,13 +28,13 @@
             self._timer.cancel()
 
     def _sweep(self) -> None:
+        self.start()  # whatever comes of this one
         now = self._network.time()
         self._close_late_heads(now)
         self._reject_late_bodies(now)
         self._end_abandoned(now)
         self._close_idle(now)
         self._cut_lingering(now)
-        self.start()
 
     def _close_late_heads(self, now: float) -> None:
         for each in self._table.in_state(ConnectionState.NEW):
--- a/micadeck/membership/consul/source.py
+++ b/micadeck/membership/consul/source.py
@@ -82,7 +82,8 @@
         self._path = target.path
         self._query = query
         self._callbacks = callbacks
-        self._view = ServiceView(target.mapping, is_catalog=target.is_catalog)
+        self._target = target
+        self._view = self._new_view()
         self._task: asyncio.Task[None] | None = None
 
     def start(self, spread_s: float = 0.0) -> None:
@@ -95,13 +96,30 @@
             self._task.cancel()
         self._client.close()
 
+    def _new_view(self) -> ServiceView:
+        return ServiceView(self._target.mapping, is_catalog=self._target.is_catalog)
+
     async def _watch(self, delay_s: float) -> None:
         await self._network.sleep(delay_s)
         while True:
-            update = await self._poll()
-            if update is not None:
-                await self._network.sleep(0)
-                await self._callbacks.on_update(update)
+            try:
+                await self._poll_and_deliver()
+            except Exception as error:
+                # Whatever it was: a watch that ended would leave its last list in force for ever.
+                self._start_over(error)
+
+    async def _poll_and_deliver(self) -> None:
+        update = await self._poll()
+        if update is not None:
+            await self._network.sleep(0)
+            await self._callbacks.on_update(update)
+
+    def _start_over(self, defect: Exception) -> None:
+        """Read the whole list anew with the next call: what was read may have been delivered in part."""
+        self._view = self._new_view()
+        self._query.discard_answer()
+        self._query.record_failure()
+        self._callbacks.on_failed(f"internal error: {defect!r}")
 
     async def _poll(self) -> ServiceUpdate | None:
         """Make the next call; return None if it failed, or its list is not accepted."""
--- a/micadeck/membership/discovery_watcher.py
+++ b/micadeck/membership/discovery_watcher.py
@@ -187,6 +187,9 @@
             update, _ = await client.call(None, self._health.first_call, _ignore)
         except DiscoveryCallError:
             self._on_failed()
+        except Exception as error:
+            self._log_defect(error)
+            self._on_failed()
         else:
             if self._version is not None and update.version > self._version:
                 self.suspect_stale()  # the watch should have brought this version
@@ -210,7 +213,11 @@
                 await self._network.sleep(self._health.blocking_call.hedge_interval_s)
 
     async def _watch_until_failure(self) -> None:
-        """Call after call; the first one does not block, so that it is answered soon."""
+        """Call after call; the first one does not block, so that it is answered soon.
+
+        Raises:
+            DiscoveryCallError: A call failed, or what was made of its answer.
+        """
         client, timeout = self._client(), self._health.first_call
         try:
             while True:
@@ -228,9 +235,20 @@
                     self._accept(update, generation)
                 is_established = is_watch and timeout.wait_ms > 0
                 timeout = self._health.blocking_call if is_established else self._health.second_call
+        except DiscoveryCallError:
+            raise
+        except Exception as error:
+            # Whatever it was: a watch that ended would leave its last list in force for ever.
+            self._wants_complete_list = True
+            self._log_defect(error)
+            raise DiscoveryCallError(str(error)) from error
         finally:
             client.close()
 
+    def _log_defect(self, error: Exception) -> None:
+        if self._log is not None:
+            self._log(f"internal error: discovery: {error!r}")
+
     def _client(self) -> DiscoveryClient[EndpointUpdate]:
         return DiscoveryClient(self._network, self._address, self._decode)
 
--- a/micadeck/membership/sources.py
+++ b/micadeck/membership/sources.py
@@ -340,8 +340,8 @@
     # Publishing to the engine
 
     def _tick(self) -> None:
+        self._tick_timer = self._network.call_later(_TICK_S, self._tick)  # whatever comes of this one
         self._publish()
-        self._tick_timer = self._network.call_later(_TICK_S, self._tick)
 
     def _publish(self, *, always: bool = False) -> None:
         """Deliver a slice of the changes now and the rest soon; `always` delivers even without changes."""
--- a/micadeck/memory/monitor.py
+++ b/micadeck/memory/monitor.py
@@ -72,13 +72,13 @@
 
     def _sample(self) -> None:
         self._budget.loop_lag_s = max(self._network.time() - self._sample_due_at, 0.0)
+        self._schedule_sample()  # whatever comes of this one
         self._refresh_charges()
         resident_bytes = anonymous_bytes()
         self._budget.update_resident(resident_bytes)
         if self._should_trim():
             resident_bytes = self._trim()
         self._log_new_tenth(resident_bytes)
-        self._schedule_sample()
 
     def _should_trim(self) -> bool:
         is_due = self._network.time() - self._trimmed_at >= self._trim_interval_s
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -180,8 +180,12 @@
     async def _watch_siblings(self, hot_restart: HotRestart) -> None:
         while True:
             await self._network.sleep(_SIBLING_POLL_S)
-            if hot_restart.refresh():
-                self._share_limits()
+            try:
+                if hot_restart.refresh():
+                    self._share_limits()
+            except Exception as error:
+                # Without this task, a process that starts beside this one would not be seen.
+                self._log(f"internal error: siblings: {error!r}")
 
     def _share_limits(self) -> None:
         """Share the limits, and the ids of open requests, with the siblings."""
