Hand an accepted connection over again where the system lacks a resource for it

Callers saw: while the system is short of buffers or memory for a moment, a client that has connected and sent its request is reset.

Cause: uvloop sets TCP_NODELAY as it takes an accepted connection over; where that fails the listener closed the connection unread, as if its client had been quicker.

Why this works: a probe showed that the socket is whole after the failure and can be handed over again; the listener does so for the errors that accept waits out, for a second at most.

--- a/micadeck/network/socket_listener.py
+++ b/micadeck/network/socket_listener.py
@@ -14,6 +14,7 @@
 _OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 _FIRST_RETRY_S = 0.001
 _MAX_RETRY_S = 0.02
+_MAX_CONNECT_RETRY_S = 0.5
 _CLOSING_RETRY_S = 0.005
 _CLOSING_RETRIES = 40
 
@@ -120,7 +121,16 @@
         return True
 
     async def _connect(self, accepted: socket.socket) -> None:
-        try:
-            await self._loop.connect_accepted_socket(self._make, accepted)
-        except OSError:
-            accepted.close()  # the client was quicker
+        """Hand an accepted connection to its protocol; retry while this machine lacks a resource for it."""
+        retry_s = _FIRST_RETRY_S
+        while True:
+            try:
+                await self._loop.connect_accepted_socket(self._make, accepted)
+            except OSError as error:
+                if error.errno not in _OUT_OF_RESOURCES or retry_s > _MAX_CONNECT_RETRY_S:
+                    accepted.close()  # the client was quicker, or it has waited for long
+                    return
+                await asyncio.sleep(retry_s)
+                retry_s *= 2.0
+            else:
+                return
--- a/tests/shim/test_failing_calls.py
+++ b/tests/shim/test_failing_calls.py
@@ -36,6 +36,8 @@
     ("epoll_ctl", errno.ENOSPC),
     ("accept4", errno.ENFILE),
     ("accept4", errno.ECONNABORTED),
+    ("setsockopt", errno.ENOBUFS),  # uvloop sets an option of each connection that it takes over
+    ("setsockopt", errno.ENOMEM),
     ("socket", errno.EMFILE),
     ("connect", errno.ENETUNREACH),
     ("shutdown", errno.ENOBUFS),
