--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -56,7 +56,7 @@
 MAX_MODULE_LINES = 500
 # Longer ones that are still to be cut, with the lines that they may have at most: this list only shrinks.
 LONG_MODULES = {
-    "micadeck/mysql/listener.py": 913,
+    "micadeck/mysql/client_session.py": 735,
     "micadeck/mysql/statements.py": 551,
     "micadeck/mysql/transport.py": 681,
     "micadeck/simulation/simulated_day.py": 573,
