--- a/review/1/play.py
+++ b/review/1/play.py
@@ -44,19 +44,26 @@
         self.answers = 0
 
     async def run(self, port: int, until: float) -> None:
-        """Ask until it is time to end."""
-        reader, writer = await asyncio.open_connection(stage.HOST, port)
+        """Ask until it is time to end; a connection that the sidecar ends is opened anew."""
         number = 0
         while time.monotonic() < until:
-            number += 1
-            ident = f"{self._name}-{number}"
-            self._owners[stage.body_for(ident, 64)] = ident
-            writer.write(stage.encode_request(ident, "check", TIMEOUT_S))
-            head = (await reader.readuntil(b"\r\n\r\n")).lower()
-            length = int(head.partition(b"content-length:")[2].split(b"\r\n")[0])
-            self._judge(ident, int(head.split(b" ")[1]), await reader.readexactly(length))
-            await asyncio.sleep(self._rng.uniform(*PAUSE_S))
-        writer.close()
+            reader, writer = await asyncio.open_connection(stage.HOST, port)
+            try:
+                while time.monotonic() < until:
+                    number += 1
+                    await self._ask(f"{self._name}-{number}", reader, writer)
+                    await asyncio.sleep(self._rng.uniform(*PAUSE_S))
+            except (EOFError, OSError) as error:
+                self._record.add(f"client: the connection of {self._name}-{number} ended: {error!r}")
+            finally:
+                writer.close()
+
+    async def _ask(self, ident: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._owners[stage.body_for(ident, 64)] = ident
+        writer.write(stage.encode_request(ident, "check", TIMEOUT_S))
+        head = (await reader.readuntil(b"\r\n\r\n")).lower()
+        length = int(head.partition(b"content-length:")[2].split(b"\r\n")[0])
+        self._judge(ident, int(head.split(b" ")[1]), await reader.readexactly(length))
 
     def _judge(self, ident: str, status: int, body: bytes) -> None:
         self.answers += 1
@@ -66,6 +73,10 @@
             self.foreign.append((ident, owner))
 
 
+def _start(roster: stage.Roster, record: stage.Record, sidecars: list[stage.Sidecar]) -> None:
+    sidecars.append(stage.start_sidecar(roster, record))
+
+
 async def play(record: stage.Record, has_trouble: bool, number: int) -> list[str]:
     """Play a round: run the sidecars and their clients, and judge the answers."""
     record.add(f"round {number}")
@@ -79,9 +90,10 @@
     clients: list[Client] = []
     owners: dict[bytes, str] = {}
     try:
-        starts = [asyncio.to_thread(stage.Sidecar, roster, record) for _ in range(SIDECARS)]
-        for sidecar in await asyncio.gather(*starts):
-            sidecars.append(sidecar)
+        starts = [asyncio.to_thread(_start, roster, record, sidecars) for _ in range(SIDECARS)]
+        for result in await asyncio.gather(*starts, return_exceptions=True):
+            if isinstance(result, BaseException):
+                raise result
         until = time.monotonic() + PLAY_S
         runs = []
         for place, sidecar in enumerate(sidecars):
--- a/review/cross_zone.py
+++ b/review/cross_zone.py
@@ -42,6 +42,8 @@
 class Server:
     """A server behind a link, with a connection for one request at a time."""
 
+    zone = "b"
+
     def __init__(
         self, name: str, record: stage.Record, link: Link, second: SecondAnswers, takes_s: float
     ) -> None:
--- a/review/mysql_stage.py
+++ b/review/mysql_stage.py
@@ -98,6 +98,8 @@
 class MysqlServer:
     """A sound server: it runs each statement by `run`, which raises SqlError for one that fails."""
 
+    zone = "a"
+
     def __init__(self, name: str, run: Run, record: stage.Record) -> None:
         """Start it."""
         self.name = name
--- a/review/stage.py
+++ b/review/stage.py
@@ -25,10 +25,11 @@
 HOST = "127.0.0.1"
 ROOT = Path(__file__).resolve().parent.parent
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
-READY_WITHIN_S = 20.0
+READY_WITHIN_S = 10.0
 _HEAD_END = b"\r\n\r\n"
 _READ_BYTES = 1 << 16
 _MAX_WATCH_S = 60.0
+_START_ATTEMPTS = 3
 
 
 class CouldNotRunError(Exception):
@@ -139,6 +140,8 @@
 class Server(_Service):
     """A sound server: it runs each request for `takes_s` and answers it with a body made for it."""
 
+    zone = "a"  # that of the sidecar
+
     def __init__(self, name: str, record: Record, takes_s: float, size: int) -> None:
         """Start it; every answer has `size` bytes, unless the last part of the path names a size."""
         self.name = name
@@ -171,6 +174,7 @@
 
     name: str
     address: str
+    zone: str
 
 
 class Closable(Listed, Protocol):
@@ -191,7 +195,7 @@
     def document(self, *, is_full: bool = True) -> dict[str, Any]:
         """Return a list in discovery's form."""
         entries = [
-            {"id": server.name, "addr": server.address, "zone": "a", "kind": "m", "cell": 1}
+            {"id": server.name, "addr": server.address, "zone": server.zone, "kind": "m", "cell": 1}
             | {"state": "active", "weight": 1.0, "started_ms": 0}
             for server in self._servers
         ]
@@ -222,7 +226,7 @@
         {"name": "lodge", "giveUpUs": 3_000_000, "promiseUs": 1_200_000, "repeat": "non_idempotent"},
     ],
     "zone": "a",
-    "zones": ["a"],
+    "zones": ["a", "b"],
     "me": 0,
     "groupSize": 1,
     "discovery": "on_request",
@@ -334,6 +338,16 @@
         shutil.rmtree(self._folder, ignore_errors=True)
 
 
+def start_sidecar(roster: Roster, record: Record, mysql_roster: Roster | None = None) -> Sidecar:
+    """Start a sidecar; try again if it does not get ready, as another process may have taken a free port."""
+    for _ in range(_START_ATTEMPTS - 1):
+        try:
+            return Sidecar(roster, record, mysql_roster)
+        except CouldNotRunError as error:
+            record.add(f"start: {error}")
+    return Sidecar(roster, record, mysql_roster)
+
+
 def encode_request(ident: str, kind: str, timeout_s: float, last: str = "") -> bytes:
     """Return a client's request in the protocol's form; `last` is the last part of its path."""
     method, extra = ("GET", "") if kind == "check" else ("POST", "Content-Length: 0\r\n")
@@ -351,7 +365,7 @@
     roster = Roster(servers)
     mysql_roster = Roster(mysql) if mysql else None
     try:
-        sidecar = Sidecar(roster, record, mysql_roster)
+        sidecar = start_sidecar(roster, record, mysql_roster)
         try:
             yield sidecar
         finally:
@@ -370,7 +384,7 @@
     record.add(f"begin, {'with' if has_trouble else 'without'} the disruption")
     try:
         violations = case(record, has_trouble)
-    except (CouldNotRunError, OSError) as error:
+    except Exception as error:
         record.add(f"the case could not run: {error!r}")
         code = COULD_NOT_RUN
     else:
