--- a/review/1/play.py
+++ b/review/1/play.py
@@ -51,7 +51,8 @@
             try:
                 while time.monotonic() < until:
                     number += 1
-                    await self._ask(f"{self._name}-{number}", reader, writer)
+                    async with asyncio.timeout(TIMEOUT_S + 1.0):
+                        await self._ask(f"{self._name}-{number}", reader, writer)
                     await asyncio.sleep(self._rng.uniform(*PAUSE_S))
             except (EOFError, OSError) as error:
                 self._record.add(f"client: the connection of {self._name}-{number} ended: {error!r}")
