Let a connection rest for the link's part of a second answer's delay as well

Cause: a connection was used again 10 ms after an answer was received, which is the time in which a server may send a second one. What the link delays that one more than the first was not counted.

A process that is late itself counts the time that an answer lay in the socket.

The virtual network now tells how long bytes lay in a socket, where it said 0, and how long a handshake took.

--- a/micadeck/http/client.py
+++ b/micadeck/http/client.py
@@ -19,6 +19,7 @@
 _STREAM_STALL_S = 4.0  # the same for a streamed answer, which can't be retried at another server
 STREAM_DEADLINE_GRACE_S = 0.25  # how long after its request's deadline a streamed answer may still end
 _TIMER_TOLERANCE_S = 0.001  # a timer may fire this much early
+_CLOCK_TICK_US = 10_000  # of the kernel's slowest configuration: the error of ages that it reports
 
 
 @unique
@@ -96,6 +97,21 @@
             return False
         return self._stream is not None and not self._stream.has_unread()
 
+    def has_unread_data(self) -> bool:
+        """Whether the server sent data that the event loop has not read; False once it closed its side."""
+        if self._closed or self._stream is None:
+            return False
+        return self._stream.has_unread() and not self._stream.has_ended()
+
+    def us_since_received(self) -> int:
+        """A lower bound on the age of the last data in the socket, read or not, in microseconds."""
+        age_s = 0.0 if self._closed or self._stream is None else self._stream.seconds_since_received()
+        return max(int(age_s * 1e6) - _CLOCK_TICK_US, 0)
+
+    def min_round_trip_us(self) -> int:
+        """The shortest recent round trip to the server, in microseconds; 0 if unknown."""
+        return 0 if self._closed or self._stream is None else int(self._stream.min_round_trip_s() * 1e6)
+
     def exchange(
         self,
         request: Request,
--- a/micadeck/http/upstream.py
+++ b/micadeck/http/upstream.py
@@ -104,13 +104,14 @@
 class _Server:
     """A server's address, and the idle connections to its current process."""
 
-    __slots__ = ("address", "identity", "idle", "is_leaving")
+    __slots__ = ("address", "identity", "idle", "is_leaving", "round_trip_us")
 
     def __init__(self, address: Address, identity: tuple[object, ...]) -> None:
         self.address = address
         self.identity = identity  # a change means another process
         self.is_leaving = False
         self.idle: list[_IdleConnection] = []  # the most recently used last
+        self.round_trip_us = 0  # shortest of the connection that was released last
 
 
 class ConnectionPool:
@@ -393,11 +394,18 @@
     def _take_idle(self, server: _Server) -> ClientConnection | None:
         """The most recently used idle connection past its reuse delay that is usable, if any."""
         now = self._network.now()
-        reusable_since = now - self._reuse_delay.delay_us_at(now)
-        for idle in [item for item in reversed(server.idle) if item.since <= reusable_since]:
+        delay_us = self._reuse_delay.delay_us_at(now, server.round_trip_us)
+        candidates = [item for item in reversed(server.idle) if item.since <= now - delay_us]
+        if not candidates:
+            # Dials would slow down a process that is already late, so count the time in the socket as well.
+            oldest = server.idle[:1]
+            candidates = [item for item in oldest if item.connection.us_since_received() >= delay_us]
+        for idle in candidates:
             if now - idle.since < self._idle_limit_us and idle.connection.is_usable():  # else it is closed
                 server.idle.remove(idle)
                 return idle.connection
+            if idle.connection.has_unread_data():
+                self._reuse_delay.record_late_bytes(now, now - idle.since)
             idle.connection.close()  # which removes it from the list
         return None
 
@@ -406,6 +414,7 @@
         if server is None or server.is_leaving:
             connection.close()
             return
+        server.round_trip_us = connection.min_round_trip_us() or server.round_trip_us
         server.idle.append(_IdleConnection(connection, self._network.now()))
         if self._sweep is None:
             self._sweep = self._network.call_later(self._idle_limit_us / 4e6, self._close_expired)
--- a/micadeck/network/interfaces.py
+++ b/micadeck/network/interfaces.py
@@ -83,6 +83,12 @@
     def seconds_since_received(self) -> float:
         """Return how long ago the last bytes arrived in the socket, in seconds; 0 if unknown."""
 
+    def min_round_trip_s(self) -> float:
+        """Return the shortest recent round trip to the peer, in seconds; 0 if unknown.
+
+        It is measured by the kernel, so delays of this process don't count.
+        """
+
     def shutdown_write(self) -> None:
         """Close the writing side synchronously; all written data must have been sent.
 
--- a/micadeck/network/stream_socket.py
+++ b/micadeck/network/stream_socket.py
@@ -13,10 +13,11 @@
 _PEER_CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # reported even while bytes are unread
 _NO_LINGER = struct.pack("ii", 1, 0)  # the last close resets the connection and drops unacknowledged data
 _OPEN_ATTEMPTS = 5
-# `tcpi_last_data_recv` in Linux's struct tcp_info, after eight bytes and eleven 32-bit numbers.
-_LAST_RECEIVED_OFFSET = 8 + 11 * 4
-_LAST_RECEIVED_MS = struct.Struct("=I")
-_TCP_INFO_SIZE = _LAST_RECEIVED_OFFSET + _LAST_RECEIVED_MS.size
+# Fields of Linux's struct tcp_info, which begins with eight bytes and 24 numbers of 32 bits.
+_TCP_INFO_NUMBER = struct.Struct("=I")
+_LAST_RECEIVED_OFFSET = 8 + 11 * 4  # tcpi_last_data_recv, in milliseconds
+_MIN_ROUND_TRIP_OFFSET = 8 + 24 * 4 + 4 * 8 + 3 * 4  # tcpi_min_rtt, in microseconds
+_UNKNOWN_ROUND_TRIP = 0xFFFF_FFFF  # until the first acknowledgement of data that was sent once
 
 
 class StreamSocket:
@@ -47,14 +48,24 @@
 
     def seconds_since_received(self) -> float:
         """Return the age of the last bytes received, in seconds; 0 if unknown."""
+        return (self._tcp_info(_LAST_RECEIVED_OFFSET) or 0) / 1e3
+
+    def min_round_trip_s(self) -> float:
+        """Return the shortest round trip of the last minutes, in seconds; 0 if unknown."""
+        round_trip_us = self._tcp_info(_MIN_ROUND_TRIP_OFFSET)
+        return 0.0 if round_trip_us in (None, _UNKNOWN_ROUND_TRIP) else round_trip_us / 1e6
+
+    def _tcp_info(self, offset: int) -> int | None:
+        """Return a number of the kernel's statistics; None if it is not available."""
+        size = offset + _TCP_INFO_NUMBER.size
         try:
-            info = self._socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_SIZE)
+            info = self._socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
         except OSError:
-            return 0.0  # it is closed, or the system does not support TCP_INFO
-        if len(info) < _TCP_INFO_SIZE:
-            return 0.0
-        age_ms: int = _LAST_RECEIVED_MS.unpack_from(info, _LAST_RECEIVED_OFFSET)[0]
-        return age_ms / 1e3
+            return None  # it is closed, or the system does not support TCP_INFO
+        if len(info) < size:
+            return None
+        number: int = _TCP_INFO_NUMBER.unpack_from(info, offset)[0]
+        return number
 
     def shutdown_write(self) -> None:
         """Close the writing side synchronously."""
--- a/micadeck/simulation/streams.py
+++ b/micadeck/simulation/streams.py
@@ -99,6 +99,7 @@
             self.target.schedule_read()
         else:
             self.received += len(piece)
+            self.target.received_at = self.wire.loop.time()
             self.unread += piece
             self.wire.tap(self, piece, True)
             self.target.schedule_read()
@@ -125,6 +126,8 @@
         self.remote = remote
         self.number = 0
         self.attached_at = float("inf")  # when a protocol was attached
+        self.handshake_us = 0  # of the end that connected
+        self.received_at = 0.0  # when the last bytes arrived in the socket
         self.is_shut_down = False  # no more bytes pass in either direction
         self._protocol: Any = None
         self._is_closing = False
@@ -314,7 +317,10 @@
         return bool(self.inbound.unread or self.inbound.has_fin or self.is_shut_down)
 
     def seconds_since_received(self) -> float:
-        return 0.0  # reads are never delayed here
+        return self.wire.loop.time() - self.received_at
+
+    def min_round_trip_s(self) -> float:
+        return self.handshake_us / 1e6
 
     def has_ended(self) -> bool:
         return bool(self.inbound.has_fin or self.is_shut_down)
--- a/micadeck/simulation/wire.py
+++ b/micadeck/simulation/wire.py
@@ -90,14 +90,14 @@
         if target_host is not None and self.is_cut(host, target_host):
             self.retry_after_heal(host, target_host, lambda: self.connect(machine, address, connected, True))
             return
-        self.loop.call_after_us(self.delay(), self._on_syn, machine, address, connected)
+        self.loop.call_after_us(self.delay(), self._on_syn, machine, address, connected, self.loop.now_us)
 
     def _pick_listener(self, address: Address) -> VirtualListener | None:
         found = self.listeners.get(address)
         return found[self.rng.randrange(len(found))] if found else None
 
     def _on_syn(
-        self, machine: Machine, address: Address, connected: asyncio.Future[VirtualTransport]
+        self, machine: Machine, address: Address, connected: asyncio.Future[VirtualTransport], sent_us: int
     ) -> None:
         if connected.done() or machine.host.is_dead:
             return
@@ -111,7 +111,9 @@
             near, far = _pair(self, machine, target.machine, address)
             target.accept_queue.append(far)
             target.schedule_accept()
-            self.loop.call_after_us(self.delay(), self._establish, near, connected)
+            reply_delay_us = self.delay()
+            near.handshake_us = self.loop.now_us - sent_us + reply_delay_us
+            self.loop.call_after_us(reply_delay_us, self._establish, near, connected)
 
     def _refuse(self, connected: asyncio.Future[VirtualTransport]) -> None:
         if not connected.done():
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import contextlib
+import os
 import socket
 from typing import Any
 
 import pytest
+from helpers import S, settings
 from loopback import (
     ERROR,
     FULL,
@@ -16,6 +18,7 @@
     FullBacklogServer,
     Harness,
     ReceivedRequest,
+    ScriptedServer,
     list_entry,
     reply,
     request,
@@ -26,9 +29,14 @@
     until,
 )
 
+from micadeck.engine import EndpointEntry, EndpointUpdate
 from micadeck.http.client import ClientConnection
 from micadeck.http.h1 import Request
-from micadeck.network import LoopNetwork
+from micadeck.http.request_validation import ValidatedRequest
+from micadeck.http.upstream import ConnectionPool
+from micadeck.network import LoopNetwork, parse_address
+from micadeck.policy.events import ListedServer, ServerState
+from micadeck.policy.outcomes import Outcome
 
 
 def open_requests_of(harness: Harness) -> int:
@@ -160,6 +168,70 @@
     run_async(work)
 
 
+def test_a_duplicate_that_is_unread_when_a_connection_is_chosen_lengthens_the_reuse_delay() -> None:
+    # Guards against learning nothing from a duplicate that only the check before a write notices.
+    async def work() -> None:
+        async def answer(received: ReceivedRequest) -> bytes:
+            return reply(received.target.encode())
+
+        server = await ScriptedServer(answer).start()
+        pool = ConnectionPool(LoopNetwork(), settings())
+        pool.max_connections = 8
+        listed = ListedServer("s-1", state=ServerState.READY)
+        entry = EndpointEntry(listed, parse_address(server.address))
+        pool.update_endpoints(EndpointUpdate(1, True, (entry,)))
+        try:
+            assert await pool_answer(pool, b"/first") == b"/first"
+            await reuse_delay_passed()
+            connection = server.received[0].writer.get_extra_info("socket")
+            os.write(connection.fileno(), reply(b"/first"))  # the event loop does not run until the check
+            assert await pool_answer(pool, b"/second") == b"/second"
+            await reuse_delay_passed()  # shorter than the delay after late data
+            assert await pool_answer(pool, b"/third") == b"/third"
+            assert server.connections == 3
+        finally:
+            pool.close()
+            server.stop()
+
+    run_async(work)
+
+
+async def pool_answer(pool: ConnectionPool, target: bytes) -> bytes:
+    """Send a request over the pool, with no other step of the event loop before it; return the body."""
+    answer: asyncio.Future[bytes] = asyncio.Future()
+    incoming = ValidatedRequest("look", None, None, S, None, False, target, False, b"GET", target, [], b"")
+
+    def done(outcome: Outcome, response: Any, report: object) -> None:
+        assert outcome is Outcome.DELIVERED
+        answer.set_result(response.body)
+
+    pool.start("s-1", LoopNetwork().now() + S, incoming, done)
+    return await soon(answer)
+
+
+def test_the_kernel_reports_round_trips_and_the_age_of_data() -> None:
+    # Guards against a reuse delay that misses the link's part, as the kernel's statistics are read wrongly.
+    async def work() -> None:
+        peers: list[asyncio.StreamWriter] = []
+        server = await asyncio.start_server(lambda _, writer: peers.append(writer), HOST, 0)
+        network = LoopNetwork()
+        connection = await network.dial(
+            lambda: ClientConnection(network, 1 << 16, lambda _: None, lambda _: None),
+            server.sockets[0].getsockname()[:2],
+        )
+        await until(lambda: bool(peers))
+        assert 0 < connection.min_round_trip_us() < 100_000  # over loopback
+        connection.exchange(Request(b"GET", b"/", []), lambda _: None)
+        peers[0].write(OK)
+        await asyncio.sleep(0.1)
+        assert 60_000 < connection.us_since_received() <= 110_000
+        connection.close()
+        assert connection.min_round_trip_us() == connection.us_since_received() == 0
+        server.close()
+
+    run_async(work)
+
+
 def test_a_refused_connection_never_ran_and_is_retried() -> None:
     async def work() -> None:
         async with run_harness(OK, OK, OK) as harness:
