Consul: wait for the reuse delay between two calls on a connection

What is seen: behind a proxy that sends each response twice, some milliseconds apart, a drain in Consul is known 1.0 s after it was made, where the grace is 0.5 s.

Cause: the next blocking query was written at once, and the second response was taken for its answer. With the index that was asked for and no wait, BlockingQuery takes it for an agent that does not block and pauses for 1 s; the true answer arrives in that pause and is dropped with the connection.

Change: ConsulClient waits for the reuse delay (http/reuse_delay.py) before it writes on a connection. A second response closes the connection meanwhile.

Discovery's case passed before as well and its client is unchanged.

--- a/micadeck/membership/consul/client.py
+++ b/micadeck/membership/consul/client.py
@@ -10,6 +10,7 @@
 
 from micadeck.http.client import ClientConnection, Failure
 from micadeck.http.h1 import Request, Response
+from micadeck.http.reuse_delay import ReuseDelay
 from micadeck.membership.consul.protocol import (
     MAX_BODY_BYTES,
     ConsulError,
@@ -60,7 +61,7 @@
 
 
 class ConsulClient:
-    """Makes one call at a time to the agent in use.  Owns the connection to it."""
+    """Makes one call at a time to the agent in use.  Owns the connection to it and its reuse delay."""
 
     def __init__(self, network: Network, agents: Agents, options: RequestOptions) -> None:
         """Create a client without a connection."""
@@ -69,6 +70,8 @@
         self._options = options
         self._connection: ClientConnection | None = None
         self._connected_to: Address | None = None
+        self._reuse_delay = ReuseDelay()
+        self._answered_at = 0  # microseconds, when the connection became idle
 
     def close(self) -> None:
         """Close the connection."""
@@ -167,6 +170,7 @@
         raise ConsulError(message)
 
     async def _exchange(self, address: Address, request: Request) -> Response:
+        await self._wait_for_late_bytes()
         connection = self._connection
         if connection is None or self._connected_to != address or not connection.is_usable():
             self.close()
@@ -180,6 +184,7 @@
 
         connection.exchange(request, on_end)
         outcome = await result
+        self._answered_at = self._network.now()
         if isinstance(outcome, Response):
             return outcome
         if outcome is Failure.MALFORMED:
@@ -188,13 +193,31 @@
             message = "the connection was lost before the end of the response"
         raise ConsulError(message)
 
+    async def _wait_for_late_bytes(self) -> None:
+        """Wait until the connection may be reused; a duplicate of the last response closes it meanwhile."""
+        connection = self._connection
+        if connection is None:
+            return
+        now = self._network.now()
+        delay_us = self._reuse_delay.delay_us_at(now, connection.min_round_trip_us())
+        left_us = self._answered_at + delay_us - now
+        if left_us > 0:
+            await self._network.sleep(left_us / 1e6)
+
     async def _dial(self, address: Address) -> ClientConnection:
         def make_connection() -> ClientConnection:
-            return ClientConnection(self._network, MAX_BODY_BYTES, _ignore, _ignore, _BODY_TIMEOUT_S)
+            return ClientConnection(
+                self._network, MAX_BODY_BYTES, _ignore, self._connection_closed, _BODY_TIMEOUT_S
+            )
 
         async with self._network.timeout(_DIAL_TIMEOUT_S):
             return await self._network.dial(make_connection, address)
 
+    def _connection_closed(self, connection: ClientConnection) -> None:
+        if connection.received_unexpected_bytes:
+            now = self._network.now()
+            self._reuse_delay.record_late_bytes(now, now - self._answered_at)
+
 
 def _ignore(_: ClientConnection) -> None:
     """Ignore the event: the client tracks the connection itself."""
