Answer the requests that were read behind another one when a drain begins

The operators' DRAIN takes the same way.

Cause: DownstreamConnection.answer closed the connection with the first answer of a drain, and RequestReader.release dropped what was queued behind it; GracefulShutdown then saw nothing more to wait for.

Change: in a drain, an answer closes its connection only when nothing further has arrived: no request is queued or read in part, and nothing is unread in the socket. The same holds for streamed answers. What is queued when the time of a stop is over is refused before the close. Requests behind one with Connection: close get no answer, as before. RequestReader.has_unprocessed takes the place of a condition that stood twice.

The tests of the listener, operators, bodies and of the sidecar pass.

--- a/micadeck/http/downstream_connection.py
+++ b/micadeck/http/downstream_connection.py
@@ -132,9 +132,8 @@
         self._download = response
         headers = error_responses.streamed_headers(response)
         self._is_chunked = stream.length is None and request.version == "1.1"
-        self._close_after_answer = (
-            self._listener.is_draining or not request.keep_alive or self._upload is not None
-        )
+        must_close = not request.keep_alive or self._upload is not None
+        self._close_after_answer = must_close or self._closes_when_drained
         if stream.length is not None:
             headers.append((b"content-length", b"%d" % stream.length))
         elif self._is_chunked:
@@ -161,12 +160,13 @@
         request, self._request = self._request, None
         is_rejected = self.state is ConnectionState.CLOSING
         is_last = request is not None and not request.keep_alive
-        closing = self._listener.is_draining or is_rejected or is_last
+        closing = self._closes_when_drained or is_rejected or is_last
         if self._upload is not None and not is_rejected:
             self._end_during_upload()
             is_rejected = closing = True
         if closing:
             headers = [*headers, (b"connection", b"close")]
+            self._reader.release()  # what the client sent behind its last request gets no answer
         with_body = request is None or request.method != b"HEAD"
         self._transport.write(Response(status, headers, body).encode(with_body=with_body))
         if is_rejected:
@@ -176,11 +176,18 @@
         else:
             self._become_idle()
 
+    @property
+    def _closes_when_drained(self) -> bool:
+        """Whether the listener drains, and no further request has arrived, not even in part."""
+        stream = self._stream
+        has_unread = stream is not None and stream.has_unread() and not stream.has_ended()
+        return self._listener.is_draining and not (self._reader.has_unprocessed or has_unread)
+
     def _become_idle(self) -> None:
         self.answers += 1
         self.received_bytes = self._request_cost = 0
         self._table.move(self, ConnectionState.IDLE)
-        if self._reader.has_partial_message or self._reader.requests or self._reader.error_status is not None:
+        if self._reader.has_unprocessed:
             # The next request may have been received together with this one, so don't wait for more data.
             self.received_at = self._listener.network.time()  # reading was paused until now
             self._table.move(self, ConnectionState.READING)
@@ -201,6 +208,8 @@
         if self._download is not None:
             self.abort()  # a streamed answer must not continue after the half-close
             return
+        if self._open_request is None and self._reader.requests:
+            self._transport.write(error_responses.refuse_all(self._reader.requests))
         self._table.move(self, ConnectionState.CLOSING)
         self.linger_s = self._listener.linger_s
         self._half_close()
@@ -270,10 +279,7 @@
             self._process_and_charge()
         else:
             self._continue_upload()
-        has_unprocessed = (
-            self._reader.has_partial_message or self._reader.requests or self._reader.error_status is not None
-        )
-        if not has_unprocessed:
+        if not self._reader.has_unprocessed:
             return
         self.received_at = self._listener.network.time()
         if self._upload is None and (self._open_request is not None or self._download is not None):
@@ -401,7 +407,7 @@
         if self._upload is not None:
             self._end_during_upload()
             self._half_close()
-        elif self._close_after_answer or self._listener.is_draining:
+        elif self._close_after_answer or self._closes_when_drained:
             self._transport.close()
         else:
             self._become_idle()
@@ -466,10 +472,7 @@
             self._table.move(self, ConnectionState.SERVING)
             self._request_cost = request.cost + OPEN_REQUEST_COST
         if request.target == _HEALTH_PATH:
-            if self._listener.is_healthy:
-                self.answer(200, [], b"ready\n")
-            else:
-                self.answer(503, [], b"draining\n")
+            self.answer(*error_responses.health(is_ready=self._listener.is_healthy))
             return
         if self._stream is not None and self._stream.has_ended():
             self.abort_disconnected()  # no server should run a request whose client has disconnected
--- a/micadeck/http/error_responses.py
+++ b/micadeck/http/error_responses.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from micadeck.engine import FailureCause
-from micadeck.http.h1 import Headers, Response
+from micadeck.http.h1 import Headers, Request, Response
 
 FinalAnswer = tuple[int, Headers, bytes]
 
@@ -26,6 +28,23 @@
     return 503, [(b"retry-after", b"%.3f" % (retry_after_us / 1e6))] if retry_after_us > 0 else [], b""
 
 
+def health(*, is_ready: bool) -> FinalAnswer:
+    """The answer to a health check."""
+    return (200, [], b"ready\n") if is_ready else (503, [], b"draining\n")
+
+
+def refuse_all(requests: Iterable[Request]) -> bytes:
+    """The encoded refusals of requests that were not forwarded; the connection is closed after the last."""
+    waiting = list(requests)
+    refusals = []
+    for request in waiting:
+        status, headers, body = refused(0)
+        if request is waiting[-1]:
+            headers.append((b"connection", b"close"))
+        refusals.append(Response(status, headers, body).encode(with_body=request.method != b"HEAD"))
+    return b"".join(refusals)
+
+
 def failed(cause: FailureCause) -> FinalAnswer:
     """A request that failed."""
     return _STATUS[cause], [], b""
--- a/micadeck/http/h1.py
+++ b/micadeck/http/h1.py
@@ -190,6 +190,11 @@
         self._arrived_at = 0.0
         self._parser = httptools.HttpRequestParser(self)
 
+    @property
+    def has_unprocessed(self) -> bool:
+        """Whether a request, a part of one or an error was read and not processed yet."""
+        return bool(self.requests) or self.has_partial_message or self.error_status is not None
+
     def release(self) -> None:
         """Stop reading and drop everything that was read."""
         self._reject(400)
