--- a/micadeck/stand_ins/mysql/server.py
+++ b/micadeck/stand_ins/mysql/server.py
@@ -82,6 +82,7 @@
     HANG = "hang"
     SHUT_DOWN = "go down"  # ERR 1053, then close the connection
     CORRUPT = "spoil"  # invalid bytes
+    REPEAT = "repeat"  # the response once more, after `delay_s`; at `Point.END` only
 
 
 @dataclass
@@ -93,6 +94,7 @@
     action: FaultAction
     rows: int = 0
     times: int = 1
+    delay_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,6 +164,11 @@
     def texts(self, part: str = "") -> list[str]:
         return [statement.text for statement in self.ran if part in statement.text]
 
+    @property
+    def has_repeats(self) -> bool:
+        """Whether a response may have to be repeated."""
+        return any(fault.action is FaultAction.REPEAT for fault in self.faults)
+
     def fault_for(self, text: str, point: Point, rows: int) -> Fault | None:
         for fault in self.faults:
             if fault.times and fault.point is point and fault.rows == rows and fault.match in text:
@@ -186,6 +193,7 @@
         self._long_data: dict[tuple[int, int], bytearray] = {}
         self._cursors: dict[int, list[tuple[Value, ...]]] = {}
         self._next_statement = 1
+        self._response = b""  # to the current command, if it may be repeated
         self.killed: asyncio.Event = asyncio.Event()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -230,6 +238,8 @@
 
     def _write(self, payload: bytes) -> None:
         data, self._sequence = frame(payload, self._sequence)
+        if self._server.has_repeats:
+            self._response += data
         self._transport.write(data)
 
     async def _serve(self) -> None:
@@ -285,6 +295,7 @@
 
     async def _command(self, payload: bytes) -> None:
         command = Command(payload[0])
+        self._response = b""
         self._server.commands[command.name] += 1
         match command:
             case Command.QUIT:
@@ -428,6 +439,10 @@
         if fault is None:
             return
         match fault.action:
+            case FaultAction.REPEAT:
+                loop = asyncio.get_running_loop()
+                loop.call_later(fault.delay_s, self._transport.write, self._response)
+                return
             case FaultAction.KILL_SERVER:
                 await self._flush()
                 self._server.die()
