--- a/micadeck/http/reuse_delay.py
+++ b/micadeck/http/reuse_delay.py
@@ -21,16 +21,6 @@
 _RETENTION_US = 60_000_000
 
 
-def min_reuse_delay_us(round_trip_us: int) -> int:
-    """How long a connection has to stay unused if no late data was seen.
-
-    Args:
-        round_trip_us: The round-trip time to the server.  One-way delays vary by less than this, unless the
-            longest is over three times the shortest.
-    """
-    return min(MAX_DUPLICATE_LAG_US + max(MIN_LINK_VARIATION_US, round_trip_us), MAX_REUSE_DELAY_US)
-
-
 class ReuseDelay:
     """Tracks the reuse delay; times are microseconds of one clock."""
 
@@ -47,8 +37,14 @@
         self._until = now + _RETENTION_US
 
     def delay_us_at(self, now: int, round_trip_us: int) -> int:
-        """How long a connection has to stay unused, as of `now`; see `min_reuse_delay_us`."""
-        delay_us = min_reuse_delay_us(round_trip_us)
+        """How long a connection has to stay unused, as of `now`.
+
+        Args:
+            now: The current time.
+            round_trip_us: The round-trip time to the server.  One-way delays vary by less than this, unless
+                the longest is over three times the shortest.
+        """
+        delay_us = MAX_DUPLICATE_LAG_US + max(MIN_LINK_VARIATION_US, round_trip_us)
         if now < self._until:
             delay_us = _DELAY_FACTOR * max(delay_us, self._longest_us)
         return min(delay_us, MAX_REUSE_DELAY_US)
--- a/micadeck/mysql/pool.py
+++ b/micadeck/mysql/pool.py
@@ -1,8 +1,7 @@
 """Connection pool: chooses the connection for an attempt.  No I/O.
 
 Connections belong to a server and a kind (what was negotiated at log-in can't change later).  The most
-recently used idle connection past its reuse delay is reused first, so that the others can reach the idle
-timeout and close.
+recently used idle connection is reused first, so that the others can reach the idle timeout and close.
 """
 
 from __future__ import annotations
@@ -80,24 +79,16 @@
         entry = self._servers.get(server)
         return len(entry.in_use) if entry is not None else 0
 
-    def assign(
-        self, server: str, kinds: Sequence[Hashable], now: int, reuse_delay_us: int = 0
-    ) -> Use[C] | Dial[C] | Full:
-        """Choose a connection for an attempt.
+    def assign(self, server: str, kinds: Sequence[Hashable], now: int) -> Use[C] | Dial[C] | Full:
+        """Choose a connection for an attempt; `kinds` are in order of preference.
 
         After `Use` the connection is in use; after `Dial` call `opened`, or `end_dial` on failure.
-
-        Args:
-            server: The name of the server.
-            kinds: The kinds that suit, in order of preference.
-            now: The current time.
-            reuse_delay_us: How long a connection has to be idle before it is used again.
         """
         entry = self._servers.setdefault(server, _Server())
         for kind in kinds:
             for index in range(len(entry.idle) - 1, -1, -1):
                 connection, idle_kind, since = entry.idle[index]
-                if idle_kind == kind and reuse_delay_us <= now - since < self.limits.idle_us:
+                if idle_kind == kind and now - since < self.limits.idle_us:
                     del entry.idle[index]
                     entry.in_use.add(connection)
                     return Use(connection)
--- a/micadeck/mysql/server_connection.py
+++ b/micadeck/mysql/server_connection.py
@@ -157,10 +157,6 @@
             return False
         return self._stream is None or not self._stream.has_unread()
 
-    def min_round_trip_us(self) -> int:
-        """The shortest recent round trip to the server, in microseconds; 0 if unknown."""
-        return 0 if self._is_closed or self._stream is None else int(self._stream.min_round_trip_s() * 1e6)
-
     def pause_reading(self) -> None:
         """Apply backpressure: the receiver of the response is slow."""
         if self._transport is not None and not self._is_closed:
--- a/micadeck/mysql/transport.py
+++ b/micadeck/mysql/transport.py
@@ -13,9 +13,8 @@
 from typing import Any, Protocol
 
 from micadeck.engine import AttemptCallback, EndpointUpdate, Request
-from micadeck.http.reuse_delay import min_reuse_delay_us
 from micadeck.mysql.auth import LoginFailed
-from micadeck.mysql.pool import Dial, Full, Pool, PoolLimits, Use
+from micadeck.mysql.pool import Full, Pool, PoolLimits, Use
 from micadeck.mysql.protocol.answers import Definition, Part, ResponseKind, ResponseReader, Row, TextPacket
 from micadeck.mysql.protocol.constants import Command, ErrorCode
 from micadeck.mysql.protocol.messages import Err, Ok, PrepareOk
@@ -149,13 +148,12 @@
 class _Server:
     """A server's address, and whether it may get new statements."""
 
-    __slots__ = ("address", "is_leaving", "round_trip_us", "sessions_end_at", "started_at")
+    __slots__ = ("address", "is_leaving", "sessions_end_at", "started_at")
 
     def __init__(self, address: Address, started_at: int | None) -> None:
         self.address = address
         self.started_at = started_at
         self.is_leaving = False
-        self.round_trip_us = 0  # shortest of the connection that was released last
         self.sessions_end_at: int | None = None  # deadline for bound sessions to end
 
 
@@ -362,12 +360,12 @@
         self, name: str, target: _Server, kinds: Sequence[_ConnectionKind], attempt: Attempt | None
     ) -> ServerConnection | None:
         """Get a connection from the pool or dial; None if the attempt has ended."""
-        assigned = self._assign(name, target, kinds)
+        assigned = self.pool.assign(name, kinds, self._network.now())
         while isinstance(assigned, Use):
             if assigned.connection.is_usable():
                 return assigned.connection
             assigned.connection.close()
-            assigned = self._assign(name, target, kinds)
+            assigned = self.pool.assign(name, kinds, self._network.now())
         if isinstance(assigned, Full):
             # `on_done` must not be called within `start`.
             await self._network.sleep(0)
@@ -377,13 +375,6 @@
             each.close()
         return await self._dial(name, target, kinds[0][0], attempt)
 
-    def _assign(
-        self, name: str, target: _Server, kinds: Sequence[_ConnectionKind]
-    ) -> Use[ServerConnection] | Dial[ServerConnection] | Full:
-        # Packets don't identify their command either: a late duplicate would answer another session's.
-        delay_us = min_reuse_delay_us(target.round_trip_us)
-        return self.pool.assign(name, kinds, self._network.now(), delay_us)
-
     async def _dial(
         self, name: str, target: _Server, found_rows: bool, attempt: Attempt | None
     ) -> ServerConnection | None:
@@ -621,8 +612,6 @@
         self._release(connection)
 
     def _return_to_pool(self, connection: ServerConnection) -> None:
-        server = self._server_of[connection]
-        server.round_trip_us = connection.min_round_trip_us() or server.round_trip_us
         kind = (connection.found_rows, connection.state.schema is not None)
         if not self.pool.release(connection, kind, self._network.now()):
             connection.close()
--- a/micadeck/stand_ins/mysql/__init__.py
+++ b/micadeck/stand_ins/mysql/__init__.py
@@ -3,6 +3,7 @@
 python -m micadeck.stand_ins.mysql --port 3306 --fault "tariff:rows=2:die"
 """
 
-from micadeck.stand_ins.mysql.server import Fault, FaultAction, Point, StandInMysql
+from micadeck.stand_ins.mysql.faults import Fault, FaultAction, Point
+from micadeck.stand_ins.mysql.server import StandInMysql
 
 __all__ = ["Fault", "FaultAction", "Point", "StandInMysql"]
