MySQL: don't run a CALL again whose error came after a part of it took effect

Cause: MysqlTransport._complete took 1290, 1836, 1461 and 3032 on an unbound connection for "did not run", whatever the statement was. Of a CALL, or of several statements, what came before the error may have committed.

Change: mysql/server_errors.py decides: only a read, one statement whose effects an error takes back, or a prepare counts as not run. The error of all else is handed on. DDL, TRUNCATE and what is not understood are handed 1290 at a read-only server now, where they were tried elsewhere.

--- a/micadeck/mysql/transport.py
+++ b/micadeck/mysql/transport.py
@@ -16,9 +16,10 @@
 from micadeck.mysql.auth import LoginFailed
 from micadeck.mysql.pool import Full, Pool, PoolLimits, Use
 from micadeck.mysql.protocol.answers import Definition, Part, ResponseKind, ResponseReader, Row, TextPacket
-from micadeck.mysql.protocol.constants import Command, ErrorCode
+from micadeck.mysql.protocol.constants import Command
 from micadeck.mysql.protocol.messages import Err, Ok, PrepareOk
 from micadeck.mysql.server_connection import OVER_LIMIT_CODES, ConnectionLost, Credentials, ServerConnection
+from micadeck.mysql.server_errors import SHUTDOWN_CODES, had_no_effect, is_server_state
 from micadeck.mysql.session import Handle, Session, must_reset, state_commands
 from micadeck.mysql.statements import Statement
 from micadeck.network import Address, Network, Timer
@@ -31,9 +32,6 @@
 _PING = bytes((Command.PING,))
 _RESET = bytes((Command.RESET_CONNECTION,))
 _PART_OVERHEAD = 64  # bytes that a buffered part takes in addition to its payload
-# Errors after which the statement did not run and another server may run it.
-_OTHER_SERVER_CODES = frozenset((ErrorCode.OPTION_PREVENTS_STATEMENT, 1836, 1461, 3032))
-_SHUTDOWN_CODES = frozenset((ErrorCode.SERVER_SHUTDOWN, 1077, 1079, 1080, 3169))
 _KILL_TIMEOUT_S = 1.0
 
 # CLIENT_FOUND_ROWS was negotiated; a default schema is selected (a connection reset does not clear it).
@@ -466,7 +464,7 @@
         if attempt.ended or self._ended_by_drain(attempt, connection):
             return False
         if reader.error is not None:
-            if reader.error.code in _OTHER_SERVER_CODES:
+            if is_server_state(reader.error.code):
                 self._end(attempt, Outcome.FULL)
                 self._release_unless_bound(attempt, connection)
                 return False
@@ -521,11 +519,12 @@
         oks = [each for each in attempt.parts if isinstance(each, Ok)]
         connection.state.record(request.statement, reader.status, oks[-1] if oks else None, error is not None)
         if error is not None and not attempt.is_streaming:
-            if error.code in _SHUTDOWN_CODES:
+            if error.code in SHUTDOWN_CODES:
                 self._end(attempt, Outcome.ERROR)
                 connection.close()
                 return
-            if error.code in _OTHER_SERVER_CODES and request.connection is None and reader.rows == 0:
+            is_repeatable = had_no_effect(error.code, request.statement, request.kind)
+            if is_repeatable and request.connection is None and reader.rows == 0:
                 self._end(attempt, Outcome.FULL)
                 self._release(connection)
                 return
--- a/micadeck/stand_ins/mysql/faults.py
+++ b/micadeck/stand_ins/mysql/faults.py
@@ -28,6 +28,7 @@
     HANG = "hang"
     SHUT_DOWN = "go down"  # ERR 1053, then close the connection
     CORRUPT = "spoil"  # invalid bytes
+    REJECT = "reject"  # ERR with `code`, and the connection stays
     REPEAT = "repeat"  # the response once more, after `delay_s`; at `Point.END` only
 
 
@@ -41,3 +42,4 @@
     rows: int = 0
     times: int = 1
     delay_s: float = 0.0
+    code: int = 0
--- a/micadeck/stand_ins/mysql/server.py
+++ b/micadeck/stand_ins/mysql/server.py
@@ -74,6 +74,10 @@
     """Raised to close the connection."""
 
 
+class _StatementRejected(Exception):
+    """Raised to end a statement whose error was sent."""
+
+
 @dataclass
 class StandInMysql:
     """One server.  `read_only`, `is_full` and `is_shutting_down` reject as MySQL does."""
@@ -332,7 +336,11 @@
             return
         for number, tree in enumerate(trees):
             more = Status.MORE_RESULTS if number + 1 < len(trees) else Status(0)
-            if not await self._statement(text, tree, (), more, binary=False):
+            try:
+                has_succeeded = await self._statement(text, tree, (), more, binary=False)
+            except _StatementRejected:
+                return
+            if not has_succeeded:
                 return
 
     async def _statement(
@@ -406,6 +414,9 @@
                 loop = asyncio.get_running_loop()
                 loop.call_later(fault.delay_s, self._transport.write, self._response)
                 return
+            case FaultAction.REJECT:
+                self._error(SqlError(fault.code, "HY000", "rejected"))
+                raise _StatementRejected
             case FaultAction.KILL_SERVER:
                 await self._flush()
                 self._server.die()
