--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -58,9 +58,9 @@
 LONG_MODULES = {
     "micadeck/mysql/client_session.py": 735,
     "micadeck/mysql/statements.py": 551,
-    "micadeck/mysql/transport.py": 681,
+    "micadeck/mysql/transport.py": 680,
     "micadeck/simulation/simulated_day.py": 573,
-    "micadeck/stand_ins/mysql/server.py": 616,
+    "micadeck/stand_ins/mysql/server.py": 605,
 }
 VIRTUAL = "micadeck.simulation"  # has a loop of its own, whose time is no clock's
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -6,6 +6,8 @@
 import contextlib
 import os
 import socket
+import threading
+import time
 from typing import Any
 
 import pytest
@@ -33,6 +35,7 @@
 from micadeck.http.client import ClientConnection
 from micadeck.http.h1 import Request
 from micadeck.http.request_validation import ValidatedRequest
+from micadeck.http.reuse_delay import MIN_REUSE_DELAY_US
 from micadeck.http.upstream import ConnectionPool
 from micadeck.network import LoopNetwork, parse_address
 from micadeck.policy.events import ListedServer, ServerState
@@ -196,6 +199,57 @@
     run_async(work)
 
 
+class ThreadedServer:
+    """Answers every request with its target, on threads of its own: also while the event loop is held up."""
+
+    def __init__(self) -> None:
+        self.connections = 0
+        self._listener = socket.create_server((HOST, 0))
+        self.address = parse_address(f"{HOST}:{self._listener.getsockname()[1]}")
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):  # closed
+            while True:
+                connection, _ = self._listener.accept()
+                self.connections += 1
+                threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with contextlib.suppress(OSError), connection:
+            while data := connection.recv(65_536):
+                connection.sendall(reply(data.split(b" ")[1]))
+
+    def close(self) -> None:
+        self._listener.close()
+
+
+def test_a_late_process_counts_the_time_that_an_answer_lay_in_the_socket() -> None:
+    # Guards against a process that is short of CPU and dials where it could reuse a connection.
+    async def work() -> None:
+        server = ThreadedServer()
+        pool = ConnectionPool(LoopNetwork(), settings())
+        pool.max_connections = 8
+        entry = EndpointEntry(ListedServer("s-1", state=ServerState.READY), server.address)
+        pool.update_endpoints(EndpointUpdate(1, True, (entry,)))
+        try:
+            assert await pool_answer(pool, b"/first") == b"/first"
+            await reuse_delay_passed()
+            second = asyncio.ensure_future(pool_answer(pool, b"/second"))
+            await asyncio.sleep(0.001)  # it is written
+            time.sleep(3 * MIN_REUSE_DELAY_US / 1e6)  # holds the event loop up
+            assert await second == b"/second"
+            assert await pool_answer(pool, b"/third") == b"/third"
+            assert server.connections == 1
+            assert await pool_answer(pool, b"/fourth") == b"/fourth"
+            assert server.connections == 2
+        finally:
+            pool.close()
+            server.close()
+
+    run_async(work)
+
+
 async def pool_answer(pool: ConnectionPool, target: bytes) -> bytes:
     """Send a request over the pool, with no other step of the event loop before it; return the body."""
     answer: asyncio.Future[bytes] = asyncio.Future()
