--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -218,6 +218,7 @@
     def _serve(self, connection: socket.socket) -> None:
         with contextlib.suppress(OSError), connection:
             while data := connection.recv(65_536):
+                time.sleep(0.02)
                 connection.sendall(reply(data.split(b" ")[1]))
 
     def close(self) -> None:
@@ -237,7 +238,7 @@
             await reuse_delay_passed()
             second = asyncio.ensure_future(pool_answer(pool, b"/second"))
             await asyncio.sleep(0.001)  # it is written
-            time.sleep(3 * MIN_REUSE_DELAY_US / 1e6)  # holds the event loop up
+            time.sleep(4 * MIN_REUSE_DELAY_US / 1e6)  # the answer comes while the event loop is held up
             assert await second == b"/second"
             assert await pool_answer(pool, b"/third") == b"/third"
             assert server.connections == 1
