Share the set-ups of the new tests; take the round trip once a dial

- The round trip to a server is asked of the kernel once a dial, where it was asked with every answer of every request.
Each handshake's is at least the shortest, which is what the delay needs.
- Consul's client waits only for a connection that it can use; where that is closed already, the call dials at once.
- What a client sent behind its last request is dropped where that is known, not with every close.
The cases on lists are beside the others of discovery and Consul and use their fixtures; the pool's tests share a server and a set-up, the drain's as well.
A case of MySQL's is named by what it holds, as there is no delay there now.

--- a/micadeck/http/downstream_connection.py
+++ b/micadeck/http/downstream_connection.py
@@ -164,9 +164,10 @@
         if self._upload is not None and not is_rejected:
             self._end_during_upload()
             is_rejected = closing = True
+        if is_last:
+            self._reader.release()  # what the client sent behind its last request gets no answer
         if closing:
             headers = [*headers, (b"connection", b"close")]
-            self._reader.release()  # what the client sent behind its last request gets no answer
         with_body = request is None or request.method != b"HEAD"
         self._transport.write(Response(status, headers, body).encode(with_body=with_body))
         if is_rejected:
--- a/micadeck/http/upstream.py
+++ b/micadeck/http/upstream.py
@@ -111,7 +111,7 @@
         self.identity = identity  # a change means another process
         self.is_leaving = False
         self.idle: list[_IdleConnection] = []  # the most recently used last
-        self.round_trip_us = 0  # shortest of the connection that was released last
+        self.round_trip_us = 0  # of the last handshake, by the kernel
 
 
 class ConnectionPool:
@@ -346,6 +346,7 @@
         if connection is None:
             self._end(exchange, outcome)
             return
+        server.round_trip_us = connection.min_round_trip_us() or server.round_trip_us
         self._owners[connection] = server
         if exchange.check_client is not None and not exchange.ended:
             exchange.check_client()
@@ -414,7 +415,6 @@
         if server is None or server.is_leaving:
             connection.close()
             return
-        server.round_trip_us = connection.min_round_trip_us() or server.round_trip_us
         server.idle.append(_IdleConnection(connection, self._network.now()))
         if self._sweep is None:
             self._sweep = self._network.call_later(self._idle_limit_us / 4e6, self._close_expired)
--- a/micadeck/membership/consul/client.py
+++ b/micadeck/membership/consul/client.py
@@ -196,8 +196,8 @@
     async def _wait_for_late_bytes(self) -> None:
         """Wait until the connection may be reused; a duplicate of the last response closes it meanwhile."""
         connection = self._connection
-        if connection is None:
-            return
+        if connection is None or not connection.is_usable():
+            return  # the call dials
         now = self._network.now()
         delay_us = self._reuse_delay.delay_us_at(now, connection.min_round_trip_us())
         left_us = self._answered_at + delay_us - now
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from typing import Any, TypeVar
 
+from micadeck.http.request_validation import ValidatedRequest
 from micadeck.policy import Balancer, Settings
 from micadeck.policy.actions import Action, Send, SetTimer
 from micadeck.policy.events import (
@@ -35,6 +36,12 @@
     "memory_us": 2 * S,
 }
 
+
+def get_request(target: bytes) -> ValidatedRequest:
+    """A client's request of the class `look`, as the pool gets it."""
+    return ValidatedRequest("look", None, None, S, None, False, target, False, b"GET", target, [], b"")
+
+
 _ActionType = TypeVar("_ActionType")
 
 
--- a/tests/test_consul_source.py
+++ b/tests/test_consul_source.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from duplicating_proxy import DuplicatingProxy
 from loopback import run_async, soon, until
 
 from micadeck.membership.consul import (
@@ -33,7 +34,10 @@
     """A merge fed by one watched service; records when each server last changed its state."""
 
     def __init__(
-        self, *agents: StandInConsul, wait_s: float = 10.0, trust: SourceTrust | None = None
+        self,
+        *agents: StandInConsul | DuplicatingProxy,
+        wait_s: float = 10.0,
+        trust: SourceTrust | None = None,
     ) -> None:
         self.network = LoopNetwork()
         self.merge = EndpointMerge()
@@ -122,6 +126,34 @@
     run_with_agent(work)
 
 
+def test_drains_are_published_within_the_grace_although_responses_come_twice() -> None:
+    # Guards against a list that lags behind, since an older response was taken for the newest.
+    async def work(agent: StandInConsul) -> None:
+        ports = range(1, 13)
+        for port in ports:
+            put(agent, port)
+        proxy = await DuplicatingProxy(agent.address).start()
+        published = PublishedStates(proxy)
+        await until(lambda: len(published.used()) == len(ports))
+        rng = random.Random(2)
+        for port in ports:
+            name, maintenance = f"10.0.0.1:{port}", f"_service_maintenance:t-{port}"
+            drained_at = time.monotonic()
+            agent.change(
+                lambda state, check=maintenance, port=port: state.put_check(  # type: ignore[misc]
+                    NODE, check, "critical", f"t-{port}"
+                )
+            )
+            await until(lambda name=name: name not in published.used())  # type: ignore[misc]
+            assert published.states[name][1] - drained_at < 0.5
+            await asyncio.sleep(rng.uniform(0.0, 0.02))
+        assert proxy.duplicates > 0 and not published.failures
+        published.watch.close()
+        proxy.stop()
+
+    run_with_agent(work)
+
+
 def test_an_unreachable_consul_keeps_the_list_and_is_read_again_after_its_restart() -> None:
     async def work(agent: StandInConsul) -> None:
         put(agent, 80)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import json
+import random
+import time
 
 import pytest
+from duplicating_proxy import DuplicatingProxy
 from loopback import (
     HOST,
     ReceivedRequest,
@@ -22,12 +25,16 @@
 from micadeck.membership.discovery_watcher import DiscoveryWatcher, WatchOptions
 from micadeck.membership.endpoint_list import parse_endpoint_update
 from micadeck.network import LoopNetwork, parse_address
+from micadeck.policy.events import ServerState
+from micadeck.stand_ins.discovery_server import StandInRoster
 
 
 class WatcherEvents:
     """Records what a `DiscoveryWatcher` reports; `None` stands for a failure."""
 
-    def __init__(self, server: ScriptedServer, version: int = 41, pushed: bool = False) -> None:
+    def __init__(
+        self, server: ScriptedServer | DuplicatingProxy, version: int = 41, pushed: bool = False
+    ) -> None:
         self.events: asyncio.Queue[EndpointUpdate | None] = asyncio.Queue()
         self.log: list[str] = []
         self.watcher = DiscoveryWatcher(
@@ -67,6 +74,37 @@
     run_async(work)
 
 
+def test_drains_are_known_within_the_grace_although_responses_come_twice() -> None:
+    # Guards against a list that lags behind, since an older response was taken for the newest.
+    async def work() -> None:
+        roster = await StandInRoster().start()
+        names = [f"s-{number}" for number in range(12)]
+        for name in names:
+            roster.put(name, "127.0.0.2:80")
+        proxy = await DuplicatingProxy(roster.address).start()
+        watched = WatcherEvents(proxy)
+        watched.watcher.watch(True)
+        first = await watched.next()
+        assert first is not None and len(first.entries) == len(names)
+        rng = random.Random(2)
+        for name in names:
+            roster.put(name, "127.0.0.2:80", "leaving")
+            drained_at, draining = time.monotonic(), False
+            while not draining:
+                update = await watched.next()
+                assert update is not None  # no call failed
+                states = {entry.endpoint.server: entry.endpoint.state for entry in update.entries}
+                draining = states.get(name) is ServerState.DRAINING
+            assert time.monotonic() - drained_at < 0.5
+            await asyncio.sleep(rng.uniform(0.0, 0.02))
+        assert proxy.duplicates > 0
+        watched.watcher.close()
+        proxy.stop()
+        roster.close()
+
+    run_async(work)
+
+
 VALID_LIST = {"version": 7, "full": True, "servers": []}
 
 
--- a/tests/test_mysql_second_answers.py
+++ b/tests/test_mysql_second_answers.py
@@ -30,7 +30,7 @@
 
 
 @async_test
-async def test_a_connection_is_reused_after_the_reuse_delay() -> None:
+async def test_statements_some_time_apart_share_one_connection() -> None:
     async with mysql_environment(1) as environment:
         client = await environment.connect()
         for _ in range(4):
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -8,10 +8,9 @@
 from typing import Any
 
 import pytest
-from helpers import S, settings
+from helpers import S, get_request, settings
 
 from micadeck.engine import EndpointEntry, EndpointUpdate
-from micadeck.http.request_validation import ValidatedRequest
 from micadeck.http.reuse_delay import MIN_REUSE_DELAY_US, ReuseDelay
 from micadeck.http.upstream import ConnectionPool
 from micadeck.policy.events import ListedServer, ServerState
@@ -96,15 +95,12 @@
 
     def start_request(number: int) -> None:
         target = b"/%d" % number
-        incoming = ValidatedRequest(
-            "look", None, None, S, None, False, target, False, b"GET", target, [], b""
-        )
 
         def done(outcome: Outcome, response: Any, report: object) -> None:
             if outcome is Outcome.DELIVERED and response.body != target:
                 wrong.append(number)
 
-        upstream.start(SERVER, network.now() + S, incoming, done)
+        upstream.start(SERVER, network.now() + S, get_request(target), done)
 
     def start_probe(number: int) -> None:
         def done(outcome: Outcome, response: Any, report: object) -> None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -4,14 +4,14 @@
 
 import asyncio
 import contextlib
-import os
 import socket
 import threading
 import time
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
 import pytest
-from helpers import S, settings
+from helpers import S, get_request, settings
 from loopback import (
     ERROR,
     FULL,
@@ -20,7 +20,7 @@
     FullBacklogServer,
     Harness,
     ReceivedRequest,
-    ScriptedServer,
+    async_test,
     list_entry,
     reply,
     request,
@@ -34,7 +34,6 @@
 from micadeck.engine import EndpointEntry, EndpointUpdate
 from micadeck.http.client import ClientConnection
 from micadeck.http.h1 import Request
-from micadeck.http.request_validation import ValidatedRequest
 from micadeck.http.reuse_delay import MIN_REUSE_DELAY_US
 from micadeck.http.upstream import ConnectionPool
 from micadeck.network import LoopNetwork, parse_address
@@ -171,39 +170,11 @@
     run_async(work)
 
 
-def test_a_duplicate_that_is_unread_when_a_connection_is_chosen_lengthens_the_reuse_delay() -> None:
-    # Guards against learning nothing from a duplicate that only the check before a write notices.
-    async def work() -> None:
-        async def answer(received: ReceivedRequest) -> bytes:
-            return reply(received.target.encode())
-
-        server = await ScriptedServer(answer).start()
-        pool = ConnectionPool(LoopNetwork(), settings())
-        pool.max_connections = 8
-        listed = ListedServer("s-1", state=ServerState.READY)
-        entry = EndpointEntry(listed, parse_address(server.address))
-        pool.update_endpoints(EndpointUpdate(1, True, (entry,)))
-        try:
-            assert await pool_answer(pool, b"/first") == b"/first"
-            await reuse_delay_passed()
-            connection = server.received[0].writer.get_extra_info("socket")
-            os.write(connection.fileno(), reply(b"/first"))  # the event loop does not run until the check
-            assert await pool_answer(pool, b"/second") == b"/second"
-            await reuse_delay_passed()  # shorter than the delay after late data
-            assert await pool_answer(pool, b"/third") == b"/third"
-            assert server.connections == 3
-        finally:
-            pool.close()
-            server.stop()
-
-    run_async(work)
-
-
 class ThreadedServer:
     """Answers every request with its target, on threads of its own: also while the event loop is held up."""
 
     def __init__(self) -> None:
-        self.connections = 0
+        self.connections: list[socket.socket] = []
         self._listener = socket.create_server((HOST, 0))
         self.address = parse_address(f"{HOST}:{self._listener.getsockname()[1]}")
         threading.Thread(target=self._accept, daemon=True).start()
@@ -211,9 +182,8 @@
     def _accept(self) -> None:
         with contextlib.suppress(OSError):  # closed
             while True:
-                connection, _ = self._listener.accept()
-                self.connections += 1
-                threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+                self.connections.append(self._listener.accept()[0])
+                threading.Thread(target=self._serve, args=self.connections[-1:], daemon=True).start()
 
     def _serve(self, connection: socket.socket) -> None:
         with contextlib.suppress(OSError), connection:
@@ -225,66 +195,76 @@
         self._listener.close()
 
 
-def test_a_late_process_counts_the_time_that_an_answer_lay_in_the_socket() -> None:
-    # Guards against a process that is short of CPU and dials where it could reuse a connection.
-    async def work() -> None:
-        server = ThreadedServer()
-        pool = ConnectionPool(LoopNetwork(), settings())
-        pool.max_connections = 8
-        entry = EndpointEntry(ListedServer("s-1", state=ServerState.READY), server.address)
-        pool.update_endpoints(EndpointUpdate(1, True, (entry,)))
-        try:
-            assert await pool_answer(pool, b"/first") == b"/first"
-            await reuse_delay_passed()
-            second = asyncio.ensure_future(pool_answer(pool, b"/second"))
-            await asyncio.sleep(0.001)  # it is written
-            time.sleep(4 * MIN_REUSE_DELAY_US / 1e6)  # the answer comes while the event loop is held up
-            assert await second == b"/second"
-            assert await pool_answer(pool, b"/third") == b"/third"
-            assert server.connections == 1
-            assert await pool_answer(pool, b"/fourth") == b"/fourth"
-            assert server.connections == 2
-        finally:
-            pool.close()
-            server.close()
-
-    run_async(work)
+@contextlib.contextmanager
+def run_pool() -> Iterator[tuple[ThreadedServer, Callable[[bytes], Awaitable[bytes]]]]:
+    """A server, and a function that sends a request to it over a pool at once and returns the body."""
+    server, pool = ThreadedServer(), ConnectionPool(LoopNetwork(), settings())
+    pool.max_connections = 8
+    entry = EndpointEntry(ListedServer("s-1", state=ServerState.READY), server.address)
+    pool.update_endpoints(EndpointUpdate(1, True, (entry,)))
 
+    def send(target: bytes) -> Awaitable[bytes]:
+        answer: asyncio.Future[bytes] = asyncio.Future()
 
-async def pool_answer(pool: ConnectionPool, target: bytes) -> bytes:
-    """Send a request over the pool, with no other step of the event loop before it; return the body."""
-    answer: asyncio.Future[bytes] = asyncio.Future()
-    incoming = ValidatedRequest("look", None, None, S, None, False, target, False, b"GET", target, [], b"")
+        def done(outcome: Outcome, response: Any, report: object) -> None:
+            assert outcome is Outcome.DELIVERED
+            answer.set_result(response.body)
 
-    def done(outcome: Outcome, response: Any, report: object) -> None:
-        assert outcome is Outcome.DELIVERED
-        answer.set_result(response.body)
+        pool.start("s-1", LoopNetwork().now() + S, get_request(target), done)
+        return soon(answer)
 
-    pool.start("s-1", LoopNetwork().now() + S, incoming, done)
-    return await soon(answer)
+    try:
+        yield server, send
+    finally:
+        pool.close()
+        server.close()
 
 
-def test_the_kernel_reports_round_trips_and_the_age_of_data() -> None:
+@async_test
+async def test_a_duplicate_that_is_unread_when_a_connection_is_chosen_lengthens_the_reuse_delay() -> None:
+    # Guards against learning nothing from a duplicate that only the check before a write notices.
+    with run_pool() as (server, send):
+        assert await send(b"/first") == b"/first"
+        await reuse_delay_passed()
+        server.connections[0].sendall(reply(b"/first"))  # the event loop does not run until the check
+        assert await send(b"/second") == b"/second"
+        await reuse_delay_passed()  # shorter than the delay after late data
+        assert await send(b"/third") == b"/third"
+        assert len(server.connections) == 3
+
+
+@async_test
+async def test_a_late_process_counts_the_time_that_an_answer_lay_in_the_socket() -> None:
+    # Guards against a process that is short of CPU and dials where it could reuse a connection.
+    with run_pool() as (server, send):
+        assert await send(b"/first") == b"/first"
+        await reuse_delay_passed()
+        second = send(b"/second")
+        await asyncio.sleep(0.001)  # it is written
+        time.sleep(4 * MIN_REUSE_DELAY_US / 1e6)  # the answer comes while the event loop is held up
+        assert await second == b"/second"
+        assert await send(b"/third") == b"/third"
+        assert len(server.connections) == 1
+        assert await send(b"/fourth") == b"/fourth"
+        assert len(server.connections) == 2
+
+
+@async_test
+async def test_the_kernel_reports_round_trips_and_the_age_of_data() -> None:
     # Guards against a reuse delay that misses the link's part, as the kernel's statistics are read wrongly.
-    async def work() -> None:
-        peers: list[asyncio.StreamWriter] = []
-        server = await asyncio.start_server(lambda _, writer: peers.append(writer), HOST, 0)
-        network = LoopNetwork()
-        connection = await network.dial(
-            lambda: ClientConnection(network, 1 << 16, lambda _: None, lambda _: None),
-            server.sockets[0].getsockname()[:2],
-        )
-        await until(lambda: bool(peers))
-        assert 0 < connection.min_round_trip_us() < 100_000  # over loopback
-        connection.exchange(Request(b"GET", b"/", []), lambda _: None)
-        peers[0].write(OK)
-        await asyncio.sleep(0.1)
-        assert 60_000 < connection.us_since_received() <= 110_000
-        connection.close()
-        assert connection.min_round_trip_us() == connection.us_since_received() == 0
-        server.close()
-
-    run_async(work)
+    server, network = ThreadedServer(), LoopNetwork()
+    connection = await network.dial(
+        lambda: ClientConnection(network, 1 << 16, lambda _: None, lambda _: None), server.address
+    )
+    assert 0 < connection.min_round_trip_us() < 100_000  # over loopback
+    answered: asyncio.Future[object] = asyncio.Future()
+    connection.exchange(Request(b"GET", b"/", []), answered.set_result)
+    await soon(answered)
+    await asyncio.sleep(0.1)
+    assert 60_000 < connection.us_since_received() <= 110_000
+    connection.close()
+    assert connection.min_round_trip_us() == connection.us_since_received() == 0
+    server.close()
 
 
 def test_a_refused_connection_never_ran_and_is_retried() -> None:
