Review: a client that reads 64 kB a second is cut off amid its answer

The case shows: a client reads an answer of 8 MiB at a steady 64 kB a second; the sidecar takes it for stalled after 15 s and aborts it, and about 4 MiB of an answer that the server gives are lost. The change: review/9; the stand-ins of the cases end what they started on SIGTERM too.

--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -10,7 +10,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -363,18 +363,25 @@
     reply.is_whole = not left
 
 
-def run_case(case: Callable[[Record, Path], Awaitable[bool]], folder: Path) -> int:
+def run_case(case: Callable[[Record, Path], Coroutine[Any, Any, bool]], folder: Path) -> int:
     """Run a case; return 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     record = Record(folder)
     record(f"TROUBLE={int(HAS_TROUBLE)}")
     try:
         with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as temporary:
-            holds = asyncio.run(asyncio.wait_for(case(record, Path(temporary)), _LIMIT_S))
-    except Exception as error:  # the case has no result, whatever the reason
+            holds = asyncio.run(_run_in_time(case(record, Path(temporary))))
+    except (Exception, asyncio.CancelledError) as error:  # the case has no result, whatever the reason
         return _report(record, f"the case could not run: {error!r}", 2)
     return _report(record, "the rule held", 0) if holds else _report(record, "the rule was broken", 1)
 
 
+async def _run_in_time(case: Coroutine[Any, Any, bool]) -> bool:
+    """Run a case; cancel it at the limit or on SIGTERM, so that it ends what it has started."""
+    task = asyncio.create_task(case)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await asyncio.wait_for(task, _LIMIT_S)
+
+
 def _report(record: Record, text: str, code: int) -> int:
     record(text)
     print(text)
