--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -255,6 +255,7 @@
     folder: Path
     config: dict[str, Any]
     port: int = field(default_factory=free_port)
+    temporary: Path | None = None  # its TMPDIR; None: the same folder
     process: asyncio.subprocess.Process | None = None
 
     def write_config(self) -> None:
@@ -271,8 +272,18 @@
         (self.folder / "config.new").write_text(json.dumps(document))
         (self.folder / "config.new").rename(path)
 
-    async def start(self) -> Sidecar:
-        """Start it, and wait until it serves."""
+    @property
+    def exit_code(self) -> int | None:
+        """Its exit code, or the negative number of the signal that ended it; None while it runs."""
+        return self.process.returncode if self.process is not None else None
+
+    @property
+    def is_running(self) -> bool:
+        """Whether it was started and has not ended."""
+        return self.process is not None and self.process.returncode is None
+
+    async def launch(self) -> None:
+        """Start it, without waiting until it serves."""
         self.write_config()
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         environment = {
@@ -280,11 +291,16 @@
             "BALANCER_NAME": "n0",
             "BALANCER_LISTEN": f"{HOST}:{self.port}",
             "BALANCER_CONFIG": str(self.folder / "config.json"),
-            "TMPDIR": str(self.folder),
+            "TMPDIR": str(self.temporary or self.folder),
         }
-        self.process = await asyncio.create_subprocess_exec(
-            "/bin/sh", "-c", run, cwd=ROOT, env=environment, stderr=(self.folder / "log").open("wb")
-        )
+        with (self.folder / "log").open("wb") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                "/bin/sh", "-c", run, cwd=ROOT, env=environment, stderr=log
+            )
+
+    async def start(self) -> Sidecar:
+        """Start it, and wait until it serves."""
+        await self.launch()
         while True:
             try:
                 reader, writer = await asyncio.open_connection(HOST, self.port)
@@ -295,18 +311,18 @@
                 line = b""
             if b" 200 " in line:
                 return self
-            if self.process.returncode is not None or now() > _START_LIMIT_S:
+            if not self.is_running or now() > _START_LIMIT_S:
                 raise RuntimeError(self.log())
             await asyncio.sleep(0.05)
 
     def log(self) -> str:
         """Return what it has logged."""
-        return (self.folder / "log").read_text(errors="replace")
+        path = self.folder / "log"
+        return path.read_text(errors="replace") if path.exists() else ""
 
     def signal(self, number: signal.Signals) -> None:
-        """Send it a signal."""
-        assert self.process is not None
-        if self.process.returncode is None:
+        """Send it a signal, if it runs."""
+        if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
 
     async def stop(self) -> None:
