--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,99 +1,184 @@
-"""A server writes a large answer of unknown length slowly; the sidecar cuts it off after the timeout."""
+"""A new version starts beside the running one, in a deployment that serves MySQL too, and ends at once."""
 
 from __future__ import annotations
 
 import asyncio
+import shutil
+import signal
+import socket
+import subprocess
 import sys
 from pathlib import Path
 
 from harness_2 import (
     HAS_TROUBLE,
     HOST,
+    ROOT,
     Message,
     Record,
     Roster,
     Server,
     Sidecar,
+    ask,
+    free_port,
+    now,
     request_head,
+    response,
     run_case,
     service_class,
     settings,
 )
 
-ANSWER_BYTES = 256 << 10  # over the 64 KiB from which on only the first bytes are timed
-PIECE_BYTES = 8 << 10
-BYTES_PER_S = 64_000.0  # the pages' rate of a slow body
-SERVICE_S = 0.1
-TIMEOUT_S = 0.7  # the pages: a try is given up after 34% to 100% of the class's 2 s
-REQUESTS = 5
-WAIT_S = 15.0  # of a client, for the whole answer
-BODY = bytes(range(256)) * (ANSWER_BYTES // 256)
-LAST_CHUNK = b"0\r\n\r\n"
-
-
-def decoded(chunked: bytes) -> bytes:
-    """Return the body of the whole chunks that a client got."""
-    body = b""
-    while chunked:
-        size, _, chunked = chunked.partition(b"\r\n")
-        length = int(size or b"0", 16)
-        if not length:
-            break
-        body, chunked = body + chunked[:length], chunked[length + 2 :]
-    return body
-
-
-async def read_answer(port: int, name: str, record: Record) -> bool:
-    """Ask, and read as fast as the answer comes; return whether it is whole."""
-    reader, writer = await asyncio.open_connection(HOST, port)
-    more = f"Idempotency-Key: {name}\r\nContent-Length: 0\r\n"
-    writer.write(request_head(name, "amend", "POST", TIMEOUT_S, more))
-    received = b""
+INTERVAL_S = 0.05  # between requests
+BEFORE_S = 2.0  # of load on the old version alone
+READY_WITHIN_S = 6.0  # the pages: until the new process says yes
+KILL_AFTER_S = 3.7  # the pages: the longest deadline and 0.7 s after SIGTERM
+AFTER_S = 2.0  # of load on the new version alone
+CLASSES = [service_class("check", "read_like", 3.0), service_class("lodge", "non_idempotent", 3.0)]
+MYSQL = """listen = "{listen}"
+name = "desk"
+
+[servers]
+user = "sidecar"
+password_file = "{password_file}"
+static = [{{name = "tariff-0", address = "{server}"}}]
+
+[[users]]
+name = "desk"
+verifier = "scrypt$00112233445566778899aabbccddeeff${digits}"
+
+[[classes]]
+name = "read"
+repeat = "safe"
+aim_ms = 250
+deadline_ms = 2000
+
+[[classes]]
+name = "write"
+repeat = "unsafe"
+aim_ms = 500
+deadline_ms = 3000
+
+[[rules]]
+read = "read"
+write = "write"
+"""
+
+
+def write_mysql_file(folder: Path, listen: str) -> Path:
+    """Write the file that the configuration names as `mysql`; its one server is never asked."""
+    password_file = folder / "password"
+    password_file.write_text("server-secret\n")
+    server, digits = f"{HOST}:{free_port()}", "0" * 64
+    path = folder / "mysql.toml"
+    path.write_text(MYSQL.format(listen=listen, password_file=password_file, server=server, digits=digits))
+    return path
+
+
+async def operator_says(address: str, call: str) -> str:
+    """Return the first line of the answer at the operators' door; empty without one in time."""
+    host, port = address.split(":")
     try:
-        async with asyncio.timeout(WAIT_S):
-            while not received.endswith(LAST_CHUNK) and (data := await reader.read(1 << 16)):
-                if not received:
-                    record(f"client: {name}: the first bytes: {data[:15].decode('latin-1')}")
-                received += data
-    except (OSError, TimeoutError) as error:
-        record(f"client: {name}: {error!r}")
-    finally:
-        writer.close()
-    body = decoded(received.partition(b"\r\n\r\n")[2])
-    is_whole = received.startswith(b"HTTP/1.1 200") and received.endswith(LAST_CHUNK) and body == BODY
-    record(f"client: {name}: {len(body)} of {ANSWER_BYTES} bytes, {'whole' if is_whole else 'CUT OFF'}")
-    return is_whole
+        async with asyncio.timeout(1.0):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            try:
+                writer.write(f"{call}\n".encode())
+                return (await reader.readline()).decode().strip()
+            finally:
+                writer.close()
+    except (OSError, TimeoutError):
+        return ""
+
+
+def greets(port: int) -> bool:
+    """Return whether a MySQL client gets the greeting of a server."""
+    try:
+        with socket.create_connection((HOST, port), 1.0) as connection:
+            connection.settimeout(1.0)
+            return connection.recv(5)[4:] == b"\x0a"  # the protocol's version, behind the packet's head
+    except OSError:
+        return False
+
+
+class Deployment:
+    """The sidecar's two versions: the same configuration and folder, each with a door of its own."""
+
+    def __init__(self, record: Record, folder: Path, config: dict[str, object]) -> None:
+        self.record = record
+        self.folder = folder
+        self.config = config
+        self.port = free_port()
+        self.old = self._version("old")
+        self.new = self._version("new")
+
+    def _version(self, name: str) -> Sidecar:
+        (self.folder / name).mkdir()
+        config = {**self.config, "operator": f"{HOST}:{free_port()}"}
+        return Sidecar(self.folder / name, config, self.port, temporary=self.folder)
+
+    async def upgrade(self) -> bool:
+        """Start the new version beside the old one, and end the old one; return whether the new one lives."""
+        self.record("the new version is started beside the old one")
+        await self.new.launch()
+        begin, answer = now(), ""
+        while now() < begin + READY_WITHIN_S and not answer.startswith("200") and self.new.is_running:
+            await asyncio.sleep(0.1)
+            answer = await operator_says(str(self.new.config["operator"]), "READY")
+        self.record(f"the new version: {answer or 'no answer to READY'}, exit code {self.new.exit_code}")
+        if not self.new.is_running:
+            return False
+        self.record("SIGTERM to the old version")
+        self.old.signal(signal.SIGTERM)
+        await asyncio.sleep(KILL_AFTER_S)
+        await self.old.stop()
+        await asyncio.sleep(AFTER_S)
+        self.record(f"the new version at the end: exit code {self.new.exit_code}")
+        return self.new.is_running
+
+
+async def load(port: int, record: Record) -> None:
+    """Ask on connections of their own until cancelled."""
+    number = 0
+    while True:
+        number += 1
+        reply = await ask(port, request_head(f"r{number}", "check", "GET", 3.0), 4.0)
+        if reply.status != 200:
+            record(f"client: r{number}: {reply}")
+        await asyncio.sleep(INTERVAL_S)
 
 
 async def case(record: Record, folder: Path) -> bool:
-    """Ask for large answers in chunks; clients must get all that the server gives."""
+    """Bring a new version under load; it must say yes in time and live on."""
+    # In a process of its own: nothing of the program is imported here.
+    subprocess.run([ROOT / ".venv/bin/python", "-c", "import cryptography, msgspec, sqlglot"], check=True)
 
     async def answer(message: Message, writer: asyncio.StreamWriter) -> None:
-        name = message.headers["request-id"]
-        record(f"the server runs {name}, told to answer within {message.headers['request-timeout']} s")
-        await asyncio.sleep(SERVICE_S)
-        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        for at in range(0, ANSWER_BYTES, PIECE_BYTES):
-            piece = BODY[at : at + PIECE_BYTES]
-            writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
-            await writer.drain()
-            if HAS_TROUBLE:
-                await asyncio.sleep(PIECE_BYTES / BYTES_PER_S)
-        writer.write(LAST_CHUNK)
-        record(f"the server has given all of {name}")
+        writer.write(response(message.headers["request-id"].encode()))
 
     roster = await Roster().start()
     for name in ("s0", "s1"):
         roster.put(name, (await Server(name, answer).start()).address)
-    classes = [service_class("amend", "idempotency_key", 2.0, promiseUs=600_000)]
-    config = {"discovery": roster.address, "settings": settings(classes), "known": roster.snapshot()}
-    sidecar = await Sidecar(folder, config).start()
+    mysql_port = free_port()
+    mysql = write_mysql_file(folder, f"{HOST}:{mysql_port}")
+    config = {"discovery": roster.address, "settings": settings(CLASSES), "known": roster.snapshot()}
+    deployment = Deployment(record, folder, {**config, "mysql": str(mysql)})
+    clients: asyncio.Task[None] | None = None
     try:
-        whole = [await read_answer(sidecar.port, f"r{number}", record) for number in range(REQUESTS)]
+        await deployment.old.start()
+        clients = asyncio.create_task(load(deployment.port, record))
+        await asyncio.sleep(BEFORE_S)
+        record(f"MySQL clients of the old version are greeted: {await asyncio.to_thread(greets, mysql_port)}")
+        if HAS_TROUBLE:
+            return await deployment.upgrade()
+        await asyncio.sleep(READY_WITHIN_S + AFTER_S)
+        return deployment.old.is_running and await asyncio.to_thread(greets, mysql_port)
     finally:
-        await sidecar.stop()
-        record(f"log: {sidecar.log()}")
-    return all(whole)
+        if clients is not None:
+            clients.cancel()
+        for name, version in (("old", deployment.old), ("new", deployment.new)):
+            await version.stop()
+            record(f"log of the {name} version: {version.log().strip()}")
+        shutil.rmtree(folder, ignore_errors=True)
 
 
 if __name__ == "__main__":
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,20 +1,24 @@
-"""One of eight servers is slow; its late answer is written into the answer of the second copy."""
+"""A MySQL client sends one statement of 12 MiB; the sidecar stands still and takes over a gigabyte for it."""
 
 from __future__ import annotations
 
 import asyncio
+import subprocess
 import sys
-from collections import Counter
 from pathlib import Path
 
+import mysql_stage
 from harness_2 import (
     HAS_TROUBLE,
+    HOST,
+    ROOT,
     Message,
     Record,
     Roster,
     Server,
     Sidecar,
     ask,
+    free_port,
     now,
     request_head,
     response,
@@ -23,95 +27,132 @@
     settings,
 )
 
-SERVERS = 8
-ANSWER_BYTES = 512 << 10
-PIECE_BYTES, PIECE_S = 32 << 10, 0.05  # 640 kB a second
-SERVICE_S = 0.02
-SLOW_S = 1.0  # the service time of the slow server; clients wait for 3 s
-INTERVAL_S = 0.02  # between requests
-TROUBLE_AFTER_S = 4.0
-DURATION_S = 14.0
-CLASSES = [service_class("check", "read_like", 3.0, promiseUs=750_000)]
+LITERAL_BYTES = 12 << 20 if HAS_TROUBLE else 12 << 10  # the pages: bodies of up to 32 MB
+MEMORY_MB = 192  # the most that the pages give a sidecar on the days that are scored
+TIMEOUT_S = 1.02  # of HTTP clients; the pages: 34% to 100% of the class's 3 s
+LOST_AFTER_S = 0.5  # the pages: an answer that comes this long after its time is lost
+INTERVAL_S = 0.05  # between HTTP requests
+BEFORE_S, AFTER_S = 2.0, 4.0  # of HTTP load before and after the statement
+STATEMENT_WITHIN_S = 30.0
+SAMPLE_S = 0.05
 
 
-def answer_to(ident: str) -> bytes:
-    """Return the answer that every server gives to a request."""
-    if ident.startswith("c"):
-        return ident.encode()
-    return (f"{ident}." * (ANSWER_BYTES // (len(ident) + 1) + 1)).encode()[:ANSWER_BYTES]
+class ThreadSafeRecord:
+    """Passes what the MySQL stand-in notes on to the event loop's thread."""
 
+    def __init__(self, record: Record) -> None:
+        self._record = record
+        self._loop = asyncio.get_running_loop()
 
-class Fleet:
-    """The servers, of which one becomes slow as it gets a request for a large answer."""
+    def add(self, text: str) -> None:
+        """Write one line, cut to a readable length."""
+        self._loop.call_soon_threadsafe(self._record, f"{text[:60]}... ({len(text)} characters)")
 
-    def __init__(self, record: Record) -> None:
+
+class Platform:
+    """Watches the sidecar's memory, and asks over HTTP meanwhile."""
+
+    def __init__(self, sidecar: Sidecar, record: Record) -> None:
+        self.sidecar = sidecar
         self.record = record
-        self.slow = ""
-        self.is_slowness_due = False
-        self._open: Counter[str] = Counter()
-
-    async def start(self, roster: Roster) -> None:
-        """Start the servers, and list them."""
-        for number in range(SERVERS):
-            name = f"s{number}"
-
-            async def answer(message: Message, writer: asyncio.StreamWriter, name: str = name) -> None:
-                self._open[name] += 1
-                try:
-                    await self._answer(name, message.headers["request-id"], writer)
-                finally:
-                    self._open[name] -= 1
-
-            roster.put(name, (await Server(name, answer).start()).address)
-
-    async def _answer(self, name: str, ident: str, writer: asyncio.StreamWriter) -> None:
-        if self.is_slowness_due and ident.startswith("L") and self._open[name] == 1:
-            self.is_slowness_due, self.slow = False, name
-            self.record(f"{name} is slow from now on: {SLOW_S:g} s a request")
-        await asyncio.sleep(SLOW_S if name == self.slow else SERVICE_S)
-        body = answer_to(ident)
-        if ident.startswith("c"):
-            writer.write(response(body))
-            return
-        self.record(f"{name} begins to answer {ident}")
-        writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode())
-        for at in range(0, len(body), PIECE_BYTES):
-            writer.write(body[at : at + PIECE_BYTES])
-            await writer.drain()
-            await asyncio.sleep(PIECE_S)
-        self.record(f"{name} has answered {ident}")
+        self.peak_mb = 0
+        self.lost = 0
+
+    def memory_mb(self) -> int:
+        """Return the anonymous memory of the process: what a memory limit counts."""
+        assert self.sidecar.process is not None
+        status = Path(f"/proc/{self.sidecar.process.pid}/status").read_text()
+        return next(
+            int(line.split()[1]) // 1024 for line in status.splitlines() if line.startswith("RssAnon")
+        )
+
+    async def watch(self) -> None:
+        """Sample the memory until cancelled."""
+        while self.sidecar.is_running:
+            memory_mb = self.memory_mb()
+            if memory_mb > max(self.peak_mb, MEMORY_MB):
+                self.record(f"the sidecar has {memory_mb} MB; its limit is {MEMORY_MB} MB")
+            self.peak_mb = max(self.peak_mb, memory_mb)
+            await asyncio.sleep(SAMPLE_S)
+
+    async def load(self) -> None:
+        """Ask on connections of their own until cancelled."""
+        number = 0
+        async with asyncio.TaskGroup() as group:
+            while True:
+                number += 1
+                group.create_task(self._ask(f"r{number}"))
+                await asyncio.sleep(INTERVAL_S)
+
+    async def _ask(self, ident: str) -> None:
+        begin = now()
+        reply = await ask(
+            self.sidecar.port, request_head(ident, "check", "GET", TIMEOUT_S), TIMEOUT_S + LOST_AFTER_S
+        )
+        if not reply.is_whole:
+            self.lost += 1
+            self.record(f"client: {ident}: LOST: no answer {now() - begin:.2f} s after it was sent")
+
+
+async def insert(port: int, record: Record) -> None:
+    """Send the statement; any answer will do."""
+    client = await asyncio.to_thread(mysql_stage.MysqlClient, port, STATEMENT_WITHIN_S)
+    text = f"INSERT INTO documents VALUES ('{'x' * LITERAL_BYTES}')"
+    record(f"MySQL client: an INSERT of {len(text)} bytes")
+    try:
+        record(f"MySQL client: {await asyncio.to_thread(client.query, text)}")
+    except OSError as error:
+        record(f"MySQL client: {error!r}")
+    finally:
+        client.close()
+
+
+async def start(record: Record, folder: Path) -> tuple[Sidecar, int]:
+    """Start servers, lists and the sidecar; return it and its MySQL port."""
+
+    async def answer(message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(response(message.headers["request-id"].encode()))
+
+    notes = ThreadSafeRecord(record)
+    roster, mysql_roster = await Roster().start(), await Roster().start()
+    for name in ("s0", "s1"):
+        roster.put(name, (await Server(name, answer).start()).address)
+    server = mysql_stage.MysqlServer("m0", lambda _, text: notes.add(f"m0 runs {text}"), notes)
+    mysql_roster.put("m0", server.address)
+    port, password = free_port(), folder / "password"
+    password.write_text(mysql_stage.SERVER_PASSWORD)
+    file = folder / "mysql.toml"
+    file.write_text(mysql_stage.config_text(port, mysql_roster.address, str(password)))
+    config = {
+        "discovery": roster.address,
+        "known": roster.snapshot(),
+        "settings": settings([service_class("check", "read_like", 3.0)]),
+        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024},
+        "mysql": str(file),
+    }
+    return await Sidecar(folder, config).start(), port
 
 
 async def case(record: Record, folder: Path) -> bool:
-    """Ask for small and large answers; each 200 must hold what the servers answer to that request."""
-    roster, fleet = await Roster().start(), Fleet(record)
-    await fleet.start(roster)
-    config = {"discovery": roster.address, "settings": settings(CLASSES, secondCopies=True)}
-    sidecar = await Sidecar(folder, {**config, "known": roster.snapshot()}).start()
-    wrong: list[str] = []
-
-    async def send(ident: str) -> None:
-        reply = await ask(sidecar.port, request_head(ident, "check", "GET", 3.0), 8.0)
-        is_wrong = reply.status == 200 and reply.is_whole and reply.body != answer_to(ident)
-        record(f"client: {ident}: {reply}{': NOT THE ANSWER TO IT' if is_wrong else ''}")
-        if is_wrong:
-            wrong.append(ident)
-            at = reply.body.find(b"HTTP/1.1")
-            record(f"client: {ident}: from byte {at}: {reply.body[at : at + 60]!r}")
-
+    """Send one statement beside HTTP requests: memory keeps under its limit, and each gets its answer."""
+    # In a process of its own: nothing of the program is imported here.
+    subprocess.run([ROOT / ".venv/bin/python", "-c", "import cryptography, msgspec, sqlglot"], check=True)
+    sidecar, port = await start(record, folder)
+    platform = Platform(sidecar, record)
+    tasks = [asyncio.create_task(platform.watch()), asyncio.create_task(platform.load())]
     try:
-        begin, tasks = now(), []
-        while now() < begin + DURATION_S:
-            ident = f"{'L' if len(tasks) % 10 == 0 else 'c'}{len(tasks):05x}"
-            tasks.append(asyncio.create_task(send(ident)))
-            if HAS_TROUBLE and not fleet.slow:
-                fleet.is_slowness_due = now() > begin + TROUBLE_AFTER_S
-            await asyncio.sleep(INTERVAL_S)
-        await asyncio.gather(*tasks)
+        await asyncio.sleep(BEFORE_S)
+        record(f"the sidecar at {HOST} has {platform.memory_mb()} MB before the statement")
+        await insert(port, record)
+        await asyncio.sleep(AFTER_S)
+        is_alive = sidecar.is_running
     finally:
+        for task in tasks:
+            task.cancel()
         await sidecar.stop()
         record(f"log: {sidecar.log()}")
-    return not wrong
+    record(f"peak memory {platform.peak_mb} MB of {MEMORY_MB}; {platform.lost} HTTP requests lost")
+    return is_alive and platform.peak_mb <= MEMORY_MB and not platform.lost
 
 
 if __name__ == "__main__":
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,10 +1,10 @@
-"""New configurations follow one another within 1.2 s; a class's new rules do not bind in time."""
+"""One of eight servers is slow; its late answer is written into the answer of the second copy."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
+from collections import Counter
 from pathlib import Path
 
 from harness_2 import (
@@ -23,120 +23,95 @@
     settings,
 )
 
-SERVERS, CELLS = 8, 2
-INTERVAL_S = 0.04  # between requests
-WARM_UP_S = 2.0  # before the first SIGHUP: the pages allow none in the first second
-BINDS_AFTER_S = 1.2  # the pages: from a SIGHUP until clients follow the new classes
-FURTHER = 3  # configurations after the first one
-SPACING_S = 1.0  # between configurations
-MEMORY_S = 2.0  # for how long servers drop repeats
-RESET_EVERY = 4  # of the requests, one in so many runs and has its connection reset
+SERVERS = 8
+ANSWER_BYTES = 512 << 10
+PIECE_BYTES, PIECE_S = 32 << 10, 0.05  # 640 kB a second
+SERVICE_S = 0.02
+SLOW_S = 1.0  # the service time of the slow server; clients wait for 3 s
+INTERVAL_S = 0.02  # between requests
+TROUBLE_AFTER_S = 4.0
+DURATION_S = 14.0
+CLASSES = [service_class("check", "read_like", 3.0, promiseUs=750_000)]
 
 
-def amend(group: str) -> dict[str, object]:
-    """Return the class whose effect the first new configuration changes."""
-    return service_class("amend", "idempotency_key", 2.0, group=group, memorySpanUs=int(MEMORY_S * 1e6))
-
-
-CHECK = service_class("check", "read_like", 3.0)
-QUOTE = service_class("quote", "read_like", 3.0)
-BEFORE = settings([CHECK, amend("all")])
-FIRST = settings([CHECK, amend("cell")])
-LATER = [
-    settings([CHECK, amend("cell"), QUOTE]),  # a class is added
-    settings([amend("cell"), QUOTE]),  # another is dropped
-    settings([amend("cell"), QUOTE], sendCap=2),  # the number of attempts changes
-]
+def answer_to(ident: str) -> bytes:
+    """Return the answer that every server gives to a request."""
+    if ident.startswith("c"):
+        return ident.encode()
+    return (f"{ident}." * (ANSWER_BYTES // (len(ident) + 1) + 1)).encode()[:ANSWER_BYTES]
 
 
 class Fleet:
-    """Servers in cells; until the new rules bind all share the keys they have seen, then each cell."""
+    """The servers, of which one becomes slow as it gets a request for a large answer."""
 
     def __init__(self, record: Record) -> None:
         self.record = record
-        self.binds_at = float("inf")
-        self.ran: dict[str, list[tuple[float, int]]] = {}  # time and cell of each run, by key
-        self._requests = 0
+        self.slow = ""
+        self.is_slowness_due = False
+        self._open: Counter[str] = Counter()
 
     async def start(self, roster: Roster) -> None:
         """Start the servers, and list them."""
         for number in range(SERVERS):
-            name, cell = f"s{number}", 1 + number % CELLS
-
-            async def answer(
-                message: Message, writer: asyncio.StreamWriter, name: str = name, cell: int = cell
-            ) -> None:
-                self._answer(f"{name} (cell {cell})", cell, message, writer)
-
-            roster.put(name, (await Server(name, answer).start()).address, cell=cell)
-
-    def _answer(self, name: str, cell: int, message: Message, writer: asyncio.StreamWriter) -> None:
-        key = message.headers["idempotency-key"]
-        runs = self.ran.setdefault(key, [])
-        if any(self._is_remembered(run, cell) for run in runs):
-            self.record(f"{name} drops a repeat of {key}")
-        else:
-            runs.append((now(), cell))
-            self.record(f"{name} runs {key}")
-            self._requests += len(runs) == 1
-            if len(runs) == 1 and self._requests % RESET_EVERY == 0:
-                self.record(f"the connection of {key} is reset")
-                writer.transport.abort()
-                return
-        writer.write(response(key.encode()))
-
-    def _is_remembered(self, run: tuple[float, int], cell: int) -> bool:
-        at, ran_in = run
-        return now() - at < MEMORY_S and (at < self.binds_at or ran_in == cell)
-
-
-async def reload(sidecar: Sidecar, new: dict[str, object], record: Record) -> None:
-    """Replace the file of the configuration and send SIGHUP."""
-    sidecar.config["settings"] = new
-    sidecar.write_config()
-    sidecar.signal(signal.SIGHUP)
-    record("SIGHUP: a new configuration")
-
-
-async def change(sidecar: Sidecar, fleet: Fleet, record: Record) -> None:
-    """Bring the new rule of the class, and with trouble further configurations that keep it."""
-    await asyncio.sleep(WARM_UP_S)
-    await reload(sidecar, FIRST, record)
-    fleet.binds_at = now() + BINDS_AFTER_S
-    for later in LATER[:FURTHER] if HAS_TROUBLE else []:
-        await asyncio.sleep(SPACING_S)
-        await reload(sidecar, later, record)
+            name = f"s{number}"
+
+            async def answer(message: Message, writer: asyncio.StreamWriter, name: str = name) -> None:
+                self._open[name] += 1
+                try:
+                    await self._answer(name, message.headers["request-id"], writer)
+                finally:
+                    self._open[name] -= 1
+
+            roster.put(name, (await Server(name, answer).start()).address)
+
+    async def _answer(self, name: str, ident: str, writer: asyncio.StreamWriter) -> None:
+        if self.is_slowness_due and ident.startswith("L") and self._open[name] == 1:
+            self.is_slowness_due, self.slow = False, name
+            self.record(f"{name} is slow from now on: {SLOW_S:g} s a request")
+        await asyncio.sleep(SLOW_S if name == self.slow else SERVICE_S)
+        body = answer_to(ident)
+        if ident.startswith("c"):
+            writer.write(response(body))
+            return
+        self.record(f"{name} begins to answer {ident}")
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode())
+        for at in range(0, len(body), PIECE_BYTES):
+            writer.write(body[at : at + PIECE_BYTES])
+            await writer.drain()
+            await asyncio.sleep(PIECE_S)
+        self.record(f"{name} has answered {ident}")
 
 
 async def case(record: Record, folder: Path) -> bool:
-    """Send keyed requests; none that is sent after the new rules bind may run in two cells."""
+    """Ask for small and large answers; each 200 must hold what the servers answer to that request."""
     roster, fleet = await Roster().start(), Fleet(record)
     await fleet.start(roster)
-    config = {"discovery": roster.address, "settings": BEFORE, "known": roster.snapshot()}
-    sidecar = await Sidecar(folder, config).start()
-    sent: dict[str, float] = {}
+    config = {"discovery": roster.address, "settings": settings(CLASSES, secondCopies=True)}
+    sidecar = await Sidecar(folder, {**config, "known": roster.snapshot()}).start()
+    wrong: list[str] = []
 
     async def send(ident: str) -> None:
-        sent[ident] = now()
-        more = f"Idempotency-Key: {ident}\r\nContent-Length: 0\r\n"
-        reply = await ask(sidecar.port, request_head(ident, "amend", "POST", 2.0, more), 3.0)
-        record(f"client: {ident}, sent at {sent[ident]:.3f}: {reply}")
+        reply = await ask(sidecar.port, request_head(ident, "check", "GET", 3.0), 8.0)
+        is_wrong = reply.status == 200 and reply.is_whole and reply.body != answer_to(ident)
+        record(f"client: {ident}: {reply}{': NOT THE ANSWER TO IT' if is_wrong else ''}")
+        if is_wrong:
+            wrong.append(ident)
+            at = reply.body.find(b"HTTP/1.1")
+            record(f"client: {ident}: from byte {at}: {reply.body[at : at + 60]!r}")
 
     try:
-        changes = asyncio.create_task(change(sidecar, fleet, record))
         begin, tasks = now(), []
-        while now() < begin + WARM_UP_S + (1 + FURTHER) * SPACING_S + BINDS_AFTER_S:
-            tasks.append(asyncio.create_task(send(f"a{len(tasks):05x}")))
+        while now() < begin + DURATION_S:
+            ident = f"{'L' if len(tasks) % 10 == 0 else 'c'}{len(tasks):05x}"
+            tasks.append(asyncio.create_task(send(ident)))
+            if HAS_TROUBLE and not fleet.slow:
+                fleet.is_slowness_due = now() > begin + TROUBLE_AFTER_S
             await asyncio.sleep(INTERVAL_S)
-        await asyncio.gather(changes, *tasks)
+        await asyncio.gather(*tasks)
     finally:
         await sidecar.stop()
         record(f"log: {sidecar.log()}")
-    twice = [key for key, runs in fleet.ran.items() if len(runs) > 1 and sent[key] >= fleet.binds_at]
-    for key in twice:
-        late_s = sent[key] - fleet.binds_at
-        record(f"RAN TWICE: {key}, sent {late_s:.3f} s after the new rule binds, in cells {fleet.ran[key]}")
-    return not twice
+    return not wrong
 
 
 if __name__ == "__main__":
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,26 +1,20 @@
-"""A new version starts beside the running one, in a deployment that serves MySQL too, and ends at once."""
+"""New configurations follow one another within 1.2 s; a class's new rules do not bind in time."""
 
 from __future__ import annotations
 
 import asyncio
-import shutil
 import signal
-import socket
-import subprocess
 import sys
 from pathlib import Path
 
 from harness_2 import (
     HAS_TROUBLE,
-    HOST,
-    ROOT,
     Message,
     Record,
     Roster,
     Server,
     Sidecar,
     ask,
-    free_port,
     now,
     request_head,
     response,
@@ -29,156 +23,120 @@
     settings,
 )
 
-INTERVAL_S = 0.05  # between requests
-BEFORE_S = 2.0  # of load on the old version alone
-READY_WITHIN_S = 6.0  # the pages: until the new process says yes
-KILL_AFTER_S = 3.7  # the pages: the longest deadline and 0.7 s after SIGTERM
-AFTER_S = 2.0  # of load on the new version alone
-CLASSES = [service_class("check", "read_like", 3.0), service_class("lodge", "non_idempotent", 3.0)]
-MYSQL = """listen = "{listen}"
-name = "desk"
-
-[servers]
-user = "sidecar"
-password_file = "{password_file}"
-static = [{{name = "tariff-0", address = "{server}"}}]
-
-[[users]]
-name = "desk"
-verifier = "scrypt$00112233445566778899aabbccddeeff${digits}"
-
-[[classes]]
-name = "read"
-repeat = "safe"
-aim_ms = 250
-deadline_ms = 2000
-
-[[classes]]
-name = "write"
-repeat = "unsafe"
-aim_ms = 500
-deadline_ms = 3000
-
-[[rules]]
-read = "read"
-write = "write"
-"""
-
-
-def write_mysql_file(folder: Path, listen: str) -> Path:
-    """Write the file that the configuration names as `mysql`; its one server is never asked."""
-    password_file = folder / "password"
-    password_file.write_text("server-secret\n")
-    server, digits = f"{HOST}:{free_port()}", "0" * 64
-    path = folder / "mysql.toml"
-    path.write_text(MYSQL.format(listen=listen, password_file=password_file, server=server, digits=digits))
-    return path
-
-
-async def operator_says(address: str, call: str) -> str:
-    """Return the first line of the answer at the operators' door; empty without one in time."""
-    host, port = address.split(":")
-    try:
-        async with asyncio.timeout(1.0):
-            reader, writer = await asyncio.open_connection(host, int(port))
-            try:
-                writer.write(f"{call}\n".encode())
-                return (await reader.readline()).decode().strip()
-            finally:
-                writer.close()
-    except (OSError, TimeoutError):
-        return ""
-
-
-def greets(port: int) -> bool:
-    """Return whether a MySQL client gets the greeting of a server."""
-    try:
-        with socket.create_connection((HOST, port), 1.0) as connection:
-            connection.settimeout(1.0)
-            return connection.recv(5)[4:] == b"\x0a"  # the protocol's version, behind the packet's head
-    except OSError:
-        return False
+SERVERS, CELLS = 8, 2
+INTERVAL_S = 0.04  # between requests
+WARM_UP_S = 2.0  # before the first SIGHUP: the pages allow none in the first second
+BINDS_AFTER_S = 1.2  # the pages: from a SIGHUP until clients follow the new classes
+FURTHER = 3  # configurations after the first one
+SPACING_S = 1.0  # between configurations
+MEMORY_S = 2.0  # for how long servers drop repeats
+RESET_EVERY = 4  # of the requests, one in so many runs and has its connection reset
+
+
+def amend(group: str) -> dict[str, object]:
+    """Return the class whose effect the first new configuration changes."""
+    return service_class("amend", "idempotency_key", 2.0, group=group, memorySpanUs=int(MEMORY_S * 1e6))
 
 
-class Deployment:
-    """The sidecar's two versions: the same configuration and folder, each with a door of its own."""
+CHECK = service_class("check", "read_like", 3.0)
+QUOTE = service_class("quote", "read_like", 3.0)
+BEFORE = settings([CHECK, amend("all")])
+FIRST = settings([CHECK, amend("cell")])
+LATER = [
+    settings([CHECK, amend("cell"), QUOTE]),  # a class is added
+    settings([amend("cell"), QUOTE]),  # another is dropped
+    settings([amend("cell"), QUOTE], sendCap=2),  # the number of attempts changes
+]
 
-    def __init__(self, record: Record, folder: Path, config: dict[str, object]) -> None:
+
+class Fleet:
+    """Servers in cells; until the new rules bind all share the keys they have seen, then each cell."""
+
+    def __init__(self, record: Record) -> None:
         self.record = record
-        self.folder = folder
-        self.config = config
-        self.port = free_port()
-        self.old = self._version("old")
-        self.new = self._version("new")
-
-    def _version(self, name: str) -> Sidecar:
-        (self.folder / name).mkdir()
-        config = {**self.config, "operator": f"{HOST}:{free_port()}"}
-        return Sidecar(self.folder / name, config, self.port, temporary=self.folder)
-
-    async def upgrade(self) -> bool:
-        """Start the new version beside the old one, and end the old one; return whether the new one lives."""
-        self.record("the new version is started beside the old one")
-        await self.new.launch()
-        begin, answer = now(), ""
-        while now() < begin + READY_WITHIN_S and not answer.startswith("200") and self.new.is_running:
-            await asyncio.sleep(0.1)
-            answer = await operator_says(str(self.new.config["operator"]), "READY")
-        self.record(f"the new version: {answer or 'no answer to READY'}, exit code {self.new.exit_code}")
-        if not self.new.is_running:
-            return False
-        self.record("SIGTERM to the old version")
-        self.old.signal(signal.SIGTERM)
-        await asyncio.sleep(KILL_AFTER_S)
-        await self.old.stop()
-        await asyncio.sleep(AFTER_S)
-        self.record(f"the new version at the end: exit code {self.new.exit_code}")
-        return self.new.is_running
-
-
-async def load(port: int, record: Record) -> None:
-    """Ask on connections of their own until cancelled."""
-    number = 0
-    while True:
-        number += 1
-        reply = await ask(port, request_head(f"r{number}", "check", "GET", 3.0), 4.0)
-        if reply.status != 200:
-            record(f"client: r{number}: {reply}")
-        await asyncio.sleep(INTERVAL_S)
+        self.binds_at = float("inf")
+        self.ran: dict[str, list[tuple[float, int]]] = {}  # time and cell of each run, by key
+        self._requests = 0
+
+    async def start(self, roster: Roster) -> None:
+        """Start the servers, and list them."""
+        for number in range(SERVERS):
+            name, cell = f"s{number}", 1 + number % CELLS
+
+            async def answer(
+                message: Message, writer: asyncio.StreamWriter, name: str = name, cell: int = cell
+            ) -> None:
+                self._answer(f"{name} (cell {cell})", cell, message, writer)
+
+            roster.put(name, (await Server(name, answer).start()).address, cell=cell)
+
+    def _answer(self, name: str, cell: int, message: Message, writer: asyncio.StreamWriter) -> None:
+        key = message.headers["idempotency-key"]
+        runs = self.ran.setdefault(key, [])
+        if any(self._is_remembered(run, cell) for run in runs):
+            self.record(f"{name} drops a repeat of {key}")
+        else:
+            runs.append((now(), cell))
+            self.record(f"{name} runs {key}")
+            self._requests += len(runs) == 1
+            if len(runs) == 1 and self._requests % RESET_EVERY == 0:
+                self.record(f"the connection of {key} is reset")
+                writer.transport.abort()
+                return
+        writer.write(response(key.encode()))
+
+    def _is_remembered(self, run: tuple[float, int], cell: int) -> bool:
+        at, ran_in = run
+        return now() - at < MEMORY_S and (at < self.binds_at or ran_in == cell)
+
+
+async def reload(sidecar: Sidecar, new: dict[str, object], record: Record) -> None:
+    """Replace the file of the configuration and send SIGHUP."""
+    sidecar.config["settings"] = new
+    sidecar.write_config()
+    sidecar.signal(signal.SIGHUP)
+    record("SIGHUP: a new configuration")
+
+
+async def change(sidecar: Sidecar, fleet: Fleet, record: Record) -> None:
+    """Bring the new rule of the class, and with trouble further configurations that keep it."""
+    await asyncio.sleep(WARM_UP_S)
+    await reload(sidecar, FIRST, record)
+    fleet.binds_at = now() + BINDS_AFTER_S
+    for later in LATER[:FURTHER] if HAS_TROUBLE else []:
+        await asyncio.sleep(SPACING_S)
+        await reload(sidecar, later, record)
 
 
 async def case(record: Record, folder: Path) -> bool:
-    """Bring a new version under load; it must say yes in time and live on."""
-    # In a process of its own: nothing of the program is imported here.
-    subprocess.run([ROOT / ".venv/bin/python", "-c", "import cryptography, msgspec, sqlglot"], check=True)
-
-    async def answer(message: Message, writer: asyncio.StreamWriter) -> None:
-        writer.write(response(message.headers["request-id"].encode()))
-
-    roster = await Roster().start()
-    for name in ("s0", "s1"):
-        roster.put(name, (await Server(name, answer).start()).address)
-    mysql_port = free_port()
-    mysql = write_mysql_file(folder, f"{HOST}:{mysql_port}")
-    config = {"discovery": roster.address, "settings": settings(CLASSES), "known": roster.snapshot()}
-    deployment = Deployment(record, folder, {**config, "mysql": str(mysql)})
-    clients: asyncio.Task[None] | None = None
+    """Send keyed requests; none that is sent after the new rules bind may run in two cells."""
+    roster, fleet = await Roster().start(), Fleet(record)
+    await fleet.start(roster)
+    config = {"discovery": roster.address, "settings": BEFORE, "known": roster.snapshot()}
+    sidecar = await Sidecar(folder, config).start()
+    sent: dict[str, float] = {}
+
+    async def send(ident: str) -> None:
+        sent[ident] = now()
+        more = f"Idempotency-Key: {ident}\r\nContent-Length: 0\r\n"
+        reply = await ask(sidecar.port, request_head(ident, "amend", "POST", 2.0, more), 3.0)
+        record(f"client: {ident}, sent at {sent[ident]:.3f}: {reply}")
+
     try:
-        await deployment.old.start()
-        clients = asyncio.create_task(load(deployment.port, record))
-        await asyncio.sleep(BEFORE_S)
-        record(f"MySQL clients of the old version are greeted: {await asyncio.to_thread(greets, mysql_port)}")
-        if HAS_TROUBLE:
-            return await deployment.upgrade()
-        await asyncio.sleep(READY_WITHIN_S + AFTER_S)
-        return deployment.old.is_running and await asyncio.to_thread(greets, mysql_port)
+        changes = asyncio.create_task(change(sidecar, fleet, record))
+        begin, tasks = now(), []
+        while now() < begin + WARM_UP_S + (1 + FURTHER) * SPACING_S + BINDS_AFTER_S:
+            tasks.append(asyncio.create_task(send(f"a{len(tasks):05x}")))
+            await asyncio.sleep(INTERVAL_S)
+        await asyncio.gather(changes, *tasks)
     finally:
-        if clients is not None:
-            clients.cancel()
-        for name, version in (("old", deployment.old), ("new", deployment.new)):
-            await version.stop()
-            record(f"log of the {name} version: {version.log().strip()}")
-        shutil.rmtree(folder, ignore_errors=True)
+        await sidecar.stop()
+        record(f"log: {sidecar.log()}")
+    twice = [key for key, runs in fleet.ran.items() if len(runs) > 1 and sent[key] >= fleet.binds_at]
+    for key in twice:
+        late_s = sent[key] - fleet.binds_at
+        record(f"RAN TWICE: {key}, sent {late_s:.3f} s after the new rule binds, in cells {fleet.ran[key]}")
+    return not twice
 
 
 if __name__ == "__main__":
