--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -299,8 +299,16 @@
             )
 
     async def start(self) -> Sidecar:
-        """Start it, and wait until it serves."""
+        """Start it, and wait until it serves; if it does not, or the case is ended meanwhile, kill it."""
         await self.launch()
+        try:
+            await self._wait_until_ready()
+        except BaseException:
+            await self.stop()
+            raise
+        return self
+
+    async def _wait_until_ready(self) -> None:
         while True:
             try:
                 reader, writer = await asyncio.open_connection(HOST, self.port)
@@ -310,7 +318,7 @@
             except OSError:
                 line = b""
             if b" 200 " in line:
-                return self
+                return
             if not self.is_running or now() > _START_LIMIT_S:
                 raise RuntimeError(self.log())
             await asyncio.sleep(0.05)
