Each of several reloads binds at its own time

Cause: SettingsVersions had one place for a version that waits. announce overwrote it and set its time anew; a file that restored the settings in force dropped it.

The time counts from the signal and is looked at with each request.

--- a/micadeck/daemon.py
+++ b/micadeck/daemon.py
@@ -29,10 +29,10 @@
 _MIN_REQUEST_MEMORY_MB = 2  # on top of the idle process's memory
 
 
-def reload(sidecar: Sidecar, log: RateLimitedLog) -> None:
+def reload(sidecar: Sidecar, log: RateLimitedLog, requested_at: float | None = None) -> None:
     """Reload the configuration; if the new one is invalid, the old one stays in force."""
     try:
-        sidecar.reload(load(os.environ))
+        sidecar.reload(load(os.environ), requested_at)
     except ConfigError as error:
         sidecar.count_rejected_config()
         log(f"reload: the old configuration stays in force: {error}".replace("\n", " "))
@@ -59,7 +59,7 @@
 
     def reload_unless_ending() -> None:
         if not end.is_set():
-            reload(sidecar, log)
+            reload(sidecar, log, signals.reload_requested_at)
 
     signals.attach(loop.call_soon_threadsafe, end.set, reload_unless_ending)
     monitor = MemoryMonitor(network, sidecar.memory, log, sidecar.count_memory)
--- a/micadeck/http/listener.py
+++ b/micadeck/http/listener.py
@@ -105,6 +105,7 @@
         versions = self._versions
         if versions.is_settled:
             return read_request(request, versions)
+        self._apply_due_settings()
         before = versions.settings
         try:
             return read_request(request, versions, self.network.now())
@@ -118,16 +119,24 @@
         limits = self._limits
         return int((limits.request_timeout_s + length / limits.min_bytes_per_s) * 1e6)
 
-    def announce(self, settings: Settings) -> None:
-        """Schedule new settings for when clients follow them."""
-        due = self._versions.announce(settings, self.network.now())
+    def announce(self, settings: Settings, requested_at: float | None = None) -> None:
+        """Schedule new settings for when clients follow them.
+
+        Args:
+            settings: The new settings.
+            requested_at: When they were announced to clients, on the network's clock in seconds; None: now.
+        """
+        age_s = 0.0 if requested_at is None else max(self.network.time() - requested_at, 0.0)
+        due = self._versions.announce(settings, self.network.now() - int(age_s * 1e6))
+        if due is None:
+            return
         for at in (due, due + OVERLAP_US):
-            self.network.call_later(
-                (at - self.network.now()) / 1e6 + _TIMER_MARGIN_S, self._apply_due_settings
-            )
+            delay_s = max((at - self.network.now()) / 1e6, 0.0)
+            self.network.call_later(delay_s + _TIMER_MARGIN_S, self._apply_due_settings)
 
     def _apply_due_settings(self) -> None:
-        if self._versions.apply_due(self.network.now()):
+        """Bring every due version into force, one after the other, as requests in between would have."""
+        while self._versions.apply_due(self.network.now()):
             self.on_settings(self._versions.settings)
 
 
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -149,13 +149,17 @@
 
     # Configuration
 
-    def reload(self, config: Config) -> None:
+    def reload(self, config: Config, requested_at: float | None = None) -> None:
         """Apply the changes that a running sidecar can make; log the keys that need a restart.
 
+        Args:
+            config: The reloaded configuration.
+            requested_at: When this was requested, on the network's clock in seconds; None: now.
+
         Raises:
             ConfigError: Keys of the running configuration are missing; nothing has changed.
         """
-        self._runtime.reload(config, self.listener.announce)
+        self._runtime.reload(config, lambda settings: self.listener.announce(settings, requested_at))
         self._config_loads += 1
         self.listener.connections.max_connections = self._runtime.max_client_connections
         if self.mysql is not None and config.mysql is not None:
--- a/micadeck/signals.py
+++ b/micadeck/signals.py
@@ -22,13 +22,14 @@
     Attributes:
         ended_at: When the end was first requested, on the monotonic clock in seconds; None: it was not.
         ended_by: By which signal.
+        reload_requested_at: When a reload was last requested, on the same clock; None: it was not.
     """
 
     def __init__(self) -> None:
         """Start without a signal; `listen` installs the handlers."""
         self.ended_at: float | None = None
         self.ended_by: signal.Signals | None = None
-        self._is_reload_requested = False
+        self.reload_requested_at: float | None = None
         self._call: Callable[[Callable[[], object]], object] | None = None
         self._on_end: Callable[[], object] = _nothing
         self._on_reload: Callable[[], object] = _nothing
@@ -57,7 +58,7 @@
             on_reload: Called for every SIGHUP.
         """
         self._on_end, self._on_reload, self._call = on_end, on_reload, call
-        if self._is_reload_requested:
+        if self.reload_requested_at is not None:
             call(on_reload)
         if self.ended_at is not None:
             call(on_end)
@@ -77,7 +78,7 @@
             self._call(self._on_end)
 
     def _reload(self, _number: int, _frame: object) -> None:
-        self._is_reload_requested = True
+        self.reload_requested_at = time.monotonic()
         if self._call is not None:
             self._call(self._on_reload)
 
