A new process can take over where MySQL is served

Cause: MySQL's listener bound its address for itself alone, once, behind the HTTP listener and without a start's retries.

Change: MySQL's address is shared and retried as HTTP's is. Where MySQL is served, both are reserved before either takes clients; MySQL listens once its servers are known, for 2 s at most, and READY waits for it. A start that fails closes what it opened. One address for MySQL and HTTP is rejected, since one process could bind a shared address twice.

--- a/micadeck/config.py
+++ b/micadeck/config.py
@@ -149,9 +149,13 @@
     if fleet is not None:
         _check_fleet_member(document, settings)
     limits = document.get("limits")
+    listen = _address("listen", document.get("listen"))
+    mysql = _load_part("mysql", document.get("mysql"), "micadeck.mysql.config")
+    if mysql is not None and mysql.listen == listen and listen[1]:
+        raise ConfigError("mysql: listen", "it is also the address of `listen`")
     return Config(
         name=_text(document, "name"),
-        listen=_address("listen", document.get("listen")),
+        listen=listen,
         discovery=_discovery(document),
         settings=settings,
         seed=_seed(document.get("seed")),
@@ -162,7 +166,7 @@
         peers=tuple(_address(f"peers[{index}]", address) for index, address in enumerate(peers)),
         peers_all=_optional_address("peers_all", document.get("peers_all")),
         consul=_load_part("consul", document.get("consul"), "micadeck.membership.consul.config"),
-        mysql=_load_part("mysql", document.get("mysql"), "micadeck.mysql.config"),
+        mysql=mysql,
         fleet=fleet,
         operator=_optional_address("operator", document.get("operator")),
         trace=_output_path("trace", "file", "traces", document.get("trace")).replace("%p", str(os.getpid())),
--- a/micadeck/daemon.py
+++ b/micadeck/daemon.py
@@ -70,6 +70,9 @@
         sidecar.close()
         _log_cancelled_start(signals, log)
         return
+    except OSError:
+        sidecar.close()
+        raise
     _log_start(sidecar, config, log)
     gc.freeze()  # these objects live as long as the process: collections skip them
     monitor.start()
--- a/micadeck/mysql/listener.py
+++ b/micadeck/mysql/listener.py
@@ -64,7 +64,13 @@
         self._listener: Listener | None = None
 
     def listen(self, address: Address) -> None:
-        self._listener = self.network.listen(self._accept, address, _MAX_ACCEPTS)
+        """Accept clients at this address.
+
+        Raises:
+            OSError: The address can't be bound.
+        """
+        # Shared with the other process during a hot restart.
+        self._listener = self.network.listen(self._accept, address, _MAX_ACCEPTS, shared=True)
 
     @property
     def port(self) -> int:
--- a/micadeck/mysql/service.py
+++ b/micadeck/mysql/service.py
@@ -12,7 +12,7 @@
 from micadeck.mysql.listener import MysqlListener
 from micadeck.mysql.routes import Routes
 from micadeck.mysql.transport import MysqlTransport
-from micadeck.network import Network
+from micadeck.network import Address, Network
 
 _DRAIN_POLL_INTERVAL_S = 0.01
 _DRAIN_SLACK_S = 0.1
@@ -96,8 +96,35 @@
         return Routes(config.rules, classes, [tenant.name for tenant in config.settings.tenants])
 
     def start(self) -> None:
+        """Connect to the endpoint source, and listen at the configured address.
+
+        Raises:
+            OSError: It can't listen.
+        """
+        self.start_engine()
+        self.listen(self.address)
+
+    def start_engine(self) -> None:
+        """Use the configured endpoints, and subscribe to updates from their source."""
         self.engine.start(self._config.known)
-        self.listener.listen(self._config.listen)
+
+    def listen(self, address: Address) -> None:
+        """Accept clients at this address; it may be called again after a failure.
+
+        Raises:
+            OSError: It can't listen.
+        """
+        self.listener.listen(address)
+
+    @property
+    def address(self) -> Address:
+        """The configured address for clients."""
+        return self._config.listen
+
+    @property
+    def has_list(self) -> bool:
+        """Whether the servers are known."""
+        return self._static is not None or self.engine.has_list
 
     @property
     def port(self) -> int:
--- a/micadeck/network/interfaces.py
+++ b/micadeck/network/interfaces.py
@@ -119,6 +119,13 @@
         """Accept the connections in the backlog, then close."""
 
 
+class Reservation(Protocol):
+    """A shared address that is bound and does not accept streams."""
+
+    def close(self) -> None:
+        """Release the address."""
+
+
 class ThreadNetwork(Protocol):
     """A thread with its own network."""
 
@@ -192,6 +199,13 @@
             OSError: It can't listen.
         """
 
+    def reserve(self, address: Address) -> Reservation:
+        """Bind an address that other processes may share, without accepting streams.
+
+        Raises:
+            OSError: It can't be bound.
+        """
+
     async def datagrams(self, make: Callable[[], asyncio.DatagramProtocol], address: Address) -> None:
         """Receive datagrams at an address that other processes may share."""
 
--- a/micadeck/network/loop.py
+++ b/micadeck/network/loop.py
@@ -8,8 +8,8 @@
 from typing import Any, TypeVar
 
 from micadeck.network.clock import Clock, wall
-from micadeck.network.interfaces import Address, ThreadNetwork
-from micadeck.network.socket_listener import SocketListener
+from micadeck.network.interfaces import Address, Reservation, ThreadNetwork
+from micadeck.network.socket_listener import SocketListener, bind
 from micadeck.network.stream_socket import open_stream_socket
 from micadeck.network.thread_loop import ThreadLoop
 
@@ -71,6 +71,10 @@
         """Accept streams; raise OSError if it can't listen."""
         return SocketListener(self._loop, make, address, max_accepts, shared=shared)
 
+    def reserve(self, address: Address) -> Reservation:
+        """Bind an address that other processes may share; raise OSError if it can't be bound."""
+        return bind(address, shared=True)
+
     async def datagrams(self, make: Callable[[], asyncio.DatagramProtocol], address: Address) -> None:
         """Receive datagrams at an address that other processes may share."""
         await self._loop.create_datagram_endpoint(make, local_addr=address, reuse_port=True)
--- a/micadeck/network/socket_listener.py
+++ b/micadeck/network/socket_listener.py
@@ -19,6 +19,29 @@
 _CLOSING_RETRIES = 40
 
 
+def bind(address: Address, *, shared: bool) -> socket.socket:
+    """Bind a stream socket to an address.
+
+    Args:
+        address: The address.
+        shared: Whether other processes may bind it too.
+
+    Raises:
+        OSError: The address is in use or not local, or a resource is lacking.
+    """
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:
+            bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        bound.bind(address)
+    except OSError:
+        bound.close()
+        raise
+    return bound
+
+
 class SocketListener:
     """`Listener` that accepts a few connections at a time; the others stay in the kernel's backlog.
 
@@ -53,24 +76,16 @@
         self._accepting: set[asyncio.Task[None]] = set()
         self._is_closing = False
         self._retry_s = _FIRST_RETRY_S
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self._socket = socket.socket(family, socket.SOCK_STREAM)
+        self._socket = bind(address, shared=shared)
         try:
-            self._bind(address, shared=shared)
+            self._socket.setblocking(False)
+            self._socket.listen(_BACKLOG)
             self.port = int(self._socket.getsockname()[1])
             loop.add_reader(self._socket.fileno(), self._accept)
         except OSError:
             self._socket.close()
             raise
 
-    def _bind(self, address: Address, *, shared: bool) -> None:
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        if shared:
-            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        self._socket.bind(address)
-        self._socket.setblocking(False)
-        self._socket.listen(_BACKLOG)
-
     @property
     def is_accepting(self) -> bool:
         """Whether the backlog is being drained, or an accepted connection has no protocol yet."""
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -5,7 +5,8 @@
 import asyncio
 import gc
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from contextlib import ExitStack
+from typing import TYPE_CHECKING, TypeVar
 
 from micadeck.config import Config
 from micadeck.errors import OperatorError
@@ -33,9 +34,12 @@
 
 _REQUEST_BYTES_PER_MB = (1 << 20) // 8  # for unanswered requests, per MB of the memory limit
 _LIST_TIMEOUT_S = 2.0  # after the start; from then on it is ready with the list in the configuration alone
+_LIST_POLL_S = 0.01
 _SIBLING_POLL_S = 0.1
 _SIBLING_IDS_S = 0.1  # after a poll, until a sibling has published the ids of its open requests
 
+T = TypeVar("T")
+
 
 class Sidecar:
     """The daemon: owns the listeners, the phase of the process and the background tasks.
@@ -100,6 +104,9 @@
     async def start(self, is_ending: Callable[[], bool] = lambda: False) -> None:
         """Start the runtime, then listen, for clients last.
 
+        No client is accepted before every address is bound: otherwise one that can't be bound would end a
+        process that already serves clients.
+
         Args:
             is_ending: Whether the process is to end; checked between retries.
 
@@ -108,32 +115,51 @@
             StartCancelledError: The process is to end.
         """
         await self._runtime.start()
+        if self.mysql is not None:
+            self.mysql.start_engine()
         if self._hot_restart is not None:
             await self._join_siblings(self._hot_restart)
         config = self._runtime.config
         if self.admin is not None and config.operator is not None:
-            await self._listen("operator", config.operator, self.admin.listen, is_ending)
-        await self._listen("listen", config.listen, self.listener.listen, is_ending)
-        if self.mysql is not None:
-            self.mysql.start()
+            await self._bind("operator", config.operator, self.admin.listen, is_ending)
+        with ExitStack() as reservations:
+            reserve = self._network.reserve
+            if self.mysql is not None:
+                reservation = await self._bind("mysql", self.mysql.address, reserve, is_ending)
+                reservations.callback(reservation.close)
+                reservation = await self._bind("listen", config.listen, reserve, is_ending)
+                reservations.callback(reservation.close)
+            await self._bind("listen", config.listen, self.listener.listen, is_ending)
+            if self.mysql is not None:
+                await self._wait_for_mysql_list(self.mysql, is_ending)
+                await self._bind("mysql", self.mysql.address, self.mysql.listen, is_ending)
         self._started_at = self._network.time()
         self.lifecycle.mark_started(self._started_at)
         self._apply_phase()
 
-    async def _listen(
-        self, key: str, address: Address, listen: Callable[[Address], None], is_ending: Callable[[], bool]
-    ) -> None:
-        """Listen on the address of this key; retry temporary failures."""
+    async def _wait_for_mysql_list(self, mysql: MysqlService, is_ending: Callable[[], bool]) -> None:
+        """Wait for the first list of MySQL's servers, at most `_LIST_TIMEOUT_S`.
+
+        Clients that connect before would get errors that another process of this sidecar spares them.
+        """
+        latest = self._network.time() + _LIST_TIMEOUT_S
+        while not mysql.has_list and self._network.time() < latest:
+            await self._network.sleep(_LIST_POLL_S)
+            if is_ending():
+                raise StartCancelledError
+
+    async def _bind(
+        self, key: str, address: Address, bind: Callable[[Address], T], is_ending: Callable[[], bool]
+    ) -> T:
+        """Bind the address of this key, or listen on it; retry temporary failures."""
         retry = StartupRetry(self._network.time())
         while True:
             try:
-                listen(address)
+                return bind(address)
             except OSError as error:
                 is_first = not retry.has_failed
                 retry_s = retry.next_delay_s(error, self._network.time())
                 failure = f"{key}: {format_address(address)}: {error}"
-            else:
-                return
             if retry_s is None:
                 raise ListenError(failure)
             if is_first:
--- a/micadeck/simulation/network.py
+++ b/micadeck/simulation/network.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from micadeck.network import Address, LoopScheduler, Stream
+from micadeck.network import Address, LoopScheduler, Reservation, Stream
 from micadeck.simulation.loop import Host
 from micadeck.simulation.wire import Machine, VirtualDatagrams, VirtualListener
 
@@ -54,6 +54,9 @@
             raise OSError(98, "address already in use")
         return VirtualListener(self.machine, make, address, max_accepts, _BACKLOG)
 
+    def reserve(self, address: Address) -> Reservation:
+        return _NoReservation()
+
     async def datagrams(self, make: Callable[[], asyncio.DatagramProtocol], address: Address) -> None:
         protocol = make()
         protocol.connection_made(VirtualDatagrams(self.machine, protocol, address))
@@ -62,6 +65,13 @@
         return transport  # type: ignore[return-value]  # a VirtualTransport implements Stream
 
 
+class _NoReservation:
+    """No other program takes an address of the virtual network."""
+
+    def close(self) -> None:
+        pass
+
+
 class SameThread:
     """Stands in for a worker thread; runs work at once."""
 
--- /dev/null
+++ b/tests/test_mysql_hot_restart.py
@@ -0,0 +1,209 @@
+"""Hot restart where MySQL is served: a shared address, and starts that fail before they take a client."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import aiomysql
+import msgspec
+import pytest
+from loopback import HOST, run_async, soon, until
+from mysql_stage import PASSWORD, ROWS, MysqlEnvironment, config_document, execute, mysql_environment
+from test_mysql_program import _daemon
+
+from micadeck.config import Config, ConfigError, parse
+from micadeck.network import LoopNetwork
+from micadeck.operations.startup_retry import StartCancelledError
+from micadeck.sidecar import ListenError, Sidecar
+
+COUNT = "SELECT COUNT(*) FROM tariff"
+HELD_S = 0.4  # for which another program holds an address
+LIST_LATE_S = 0.5  # after the start
+
+
+def make_config(folder: Path, roster: str, mysql_port: int = 0, http_port: int = 0) -> Config:
+    path = folder / "mysql.toml"
+    path.write_bytes(msgspec.toml.encode(config_document(roster, listen=f"{HOST}:{mysql_port}")))
+    config = parse(_daemon(folder, roster, str(path)))
+    return replace(config, listen=(HOST, http_port))
+
+
+class Holder:
+    """Another program that listens at an address and shares it with nobody."""
+
+    def __init__(self) -> None:
+        self._socket = socket.create_server((HOST, 0))
+        self.port = int(self._socket.getsockname()[1])
+
+    def close(self) -> None:
+        self._socket.close()
+
+
+def free_port() -> int:
+    holder = Holder()
+    holder.close()
+    return holder.port
+
+
+def accepts(port: int) -> bool:
+    try:
+        socket.create_connection((HOST, port), 1.0).close()
+    except OSError:
+        return False
+    return True
+
+
+@asynccontextmanager
+async def sidecar_of(config: Config, log: list[str]) -> AsyncIterator[Sidecar]:
+    """A sidecar that is not started; it is closed in the end."""
+    sidecar = Sidecar(config, LoopNetwork(), log.append)
+    try:
+        yield sidecar
+    finally:
+        sidecar.close()
+        await asyncio.sleep(0.02)
+
+
+async def connect(port: int) -> Any:
+    return await soon(
+        aiomysql.connect(host=HOST, port=port, user="desk", password=PASSWORD, db="tariff", autocommit=None)
+    )
+
+
+def with_servers(work: Callable[[MysqlEnvironment], Any]) -> None:
+    async def run() -> None:
+        async with mysql_environment(2) as env:
+            await work(env)
+
+    run_async(run)
+
+
+def test_a_new_process_takes_over_where_mysql_is_served(tmp_path: Path) -> None:
+    # Guards against a new version that ends with "Address already in use" beside the running one.
+    async def work(env: MysqlEnvironment) -> None:
+        config = make_config(tmp_path, env.roster.address, free_port(), free_port())
+        port = config.mysql.listen[1] if config.mysql is not None else 0
+        async with sidecar_of(config, []) as old, sidecar_of(config, []) as new:
+            await old.start()
+            client = await connect(port)
+            await execute(client, "BEGIN")
+            await execute(client, "INSERT INTO lodged VALUES ('before', 'old')")
+            await soon(new.start())
+            assert new.unready_reason() is None
+            assert old.mysql is not None and new.mysql is not None
+            # Both serve: the kernel spreads clients over them.
+            clients = [await connect(port) for _ in range(16)]
+            assert len(new.mysql.listener.clients) > 0
+            for each in clients:
+                assert await execute(each, COUNT) == [(len(ROWS),)]
+                each.close()
+            stopping = asyncio.create_task(old.stop())
+            await until(lambda: old.mysql is not None and old.mysql.listener.is_draining)
+            # The transaction ends at the old process, new clients are served by the new one.
+            assert await execute(await connect(port), COUNT) == [(len(ROWS),)]
+            assert await execute(client, "COMMIT") == 0
+            await soon(stopping)
+            assert env.count_lodged("before") == 1
+            assert await execute(await connect(port), COUNT) == [(len(ROWS),)]
+
+    with_servers(work)
+
+
+@pytest.mark.parametrize("held", ["mysql", "listen"])
+def test_an_address_of_another_program_ends_a_start_that_has_taken_no_client(
+    held: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against clients that are accepted by a process that is about to end.
+    monkeypatch.setattr("micadeck.operations.startup_retry.MAX_ADDRESS_IN_USE_WAIT_S", HELD_S)
+
+    async def work(env: MysqlEnvironment) -> None:
+        holder, other = Holder(), free_port()
+        ports = (holder.port, other) if held == "mysql" else (other, holder.port)
+        async with sidecar_of(make_config(tmp_path, env.roster.address, *ports), []) as sidecar:
+            starting = asyncio.create_task(sidecar.start())
+            while not starting.done():
+                assert not accepts(other)
+                await asyncio.sleep(0.02)
+            with pytest.raises(ListenError, match=rf"^{held}: {HOST}:{holder.port}: .*in use"):
+                await starting
+        holder.close()
+
+    with_servers(work)
+
+
+@pytest.mark.parametrize("held", ["mysql", "listen"])
+def test_a_start_waits_until_another_program_frees_the_address(held: str, tmp_path: Path) -> None:
+    # Guards against a listener of MySQL that ends the start where HTTP's waits.
+    async def work(env: MysqlEnvironment) -> None:
+        holder, other = Holder(), free_port()
+        ports = (holder.port, other) if held == "mysql" else (other, holder.port)
+        log: list[str] = []
+        async with sidecar_of(make_config(tmp_path, env.roster.address, *ports), log) as sidecar:
+            asyncio.get_running_loop().call_later(HELD_S, holder.close)
+            await soon(sidecar.start())
+            assert await execute(await connect(ports[0]), COUNT) == [(len(ROWS),)]
+            waits = [line for line in log if line.startswith("startup: can't listen yet, retrying")]
+            assert len(waits) == 1 and f"{held}: {HOST}:{holder.port}" in waits[0]
+
+    with_servers(work)
+
+
+def test_a_start_that_waits_for_mysqls_address_ends_at_a_signal(tmp_path: Path) -> None:
+    async def work(env: MysqlEnvironment) -> None:
+        holder = Holder()
+        config = make_config(tmp_path, env.roster.address, holder.port)
+        async with sidecar_of(config, []) as sidecar:
+            is_ending = asyncio.Event()
+            starting = asyncio.create_task(sidecar.start(is_ending.is_set))
+            await asyncio.sleep(0.1)
+            assert not starting.done()
+            is_ending.set()
+            with pytest.raises(StartCancelledError):
+                await soon(starting)
+        holder.close()
+
+    with_servers(work)
+
+
+def test_a_new_process_accepts_mysql_clients_once_it_knows_the_servers(tmp_path: Path) -> None:
+    # Guards against clients that a new process takes from the running one before it can serve them.
+    async def work(env: MysqlEnvironment) -> None:
+        roster = env.roster
+        config = make_config(tmp_path, roster.address, free_port())
+        assert config.mysql is not None
+        port = config.mysql.listen[1]
+        async with sidecar_of(config, []) as sidecar:
+            assert sidecar.mysql is not None
+            source = sidecar.mysql._source
+            original, delayed = source.watch, asyncio.Event()
+
+            def watch_later(wanted: bool) -> None:
+                asyncio.get_running_loop().call_later(LIST_LATE_S, original, wanted)
+                delayed.set()
+
+            source.watch = watch_later  # type: ignore[method-assign]
+            source.fetch = lambda: None  # type: ignore[method-assign]
+            starting = asyncio.create_task(sidecar.start())
+            while not sidecar.mysql.engine.has_list:
+                assert not accepts(port) and sidecar.unready_reason() is not None
+                await asyncio.sleep(0.02)
+            await soon(starting)
+            assert delayed.is_set()
+            assert await execute(await connect(port), COUNT) == [(len(ROWS),)]
+
+    with_servers(work)
+
+
+def test_mysql_and_http_at_one_address_are_rejected(tmp_path: Path) -> None:
+    # Both are shared with other processes, so the system would let one process listen twice.
+    path = tmp_path / "mysql.toml"
+    path.write_bytes(msgspec.toml.encode(config_document(f"{HOST}:1", listen=f"{HOST}:5000")))
+    document = {**_daemon(tmp_path, f"{HOST}:1", str(path)), "listen": f"{HOST}:5000"}
+    with pytest.raises(ConfigError, match="mysql: listen: it is also the address of `listen`"):
+        parse(document)
