Deny an attempt whose body another attempt has begun to send

Cause: whether a request can be sent again was asked when an attempt ended, not before one is written.

Change: the send guard denies such an attempt in the step that writes, and the transport asks before it dials; it ends as never sent and the first attempt goes on. Exchange takes the request in place of three of its methods. The decisions are unchanged.

--- a/micadeck/engine/ports.py
+++ b/micadeck/engine/ports.py
@@ -36,7 +36,10 @@
     retired_class: ServiceClass | None = field(default=None, kw_only=True)  # its class, if no longer in force
 
     def can_retry(self) -> bool:
-        """Whether it is buffered completely, so that it can be sent again; called when an attempt ends."""
+        """Whether it is buffered completely, or none of it was sent, so that it can be sent again.
+
+        Called when an attempt ends, and before one is written: another may be in flight.
+        """
         return True
 
     def check_client(self) -> None:
--- a/micadeck/engine/send_guard.py
+++ b/micadeck/engine/send_guard.py
@@ -23,6 +23,7 @@
     DEADLINE_PASSED = "deadline passed"  # the attempt's deadline
     RETRY_TOO_LATE = "retry too late"  # the deduplication window of the first attempt may have ended
     CONNECTION_ENDED = "connection ended"  # or it delivered unsolicited data
+    BODY_SPENT = "body spent"  # another attempt has begun to send the body, which is not kept
 
 
 @unique
@@ -47,6 +48,10 @@
     write_deadline_us: int | None
     ended: bool
 
+    @property
+    def is_body_spent(self) -> bool:
+        """Whether a part of its body was passed on and is not kept."""
+
 
 def send_denial(
     now: int, attempt: UnsentAttempt, *, is_server_leaving: bool, is_connection_usable: bool
@@ -64,6 +69,8 @@
     """
     if attempt.ended:
         return SendDenial.CANCELLED
+    if attempt.is_body_spent:
+        return SendDenial.BODY_SPENT
     if is_server_leaving:
         return SendDenial.SERVER_LEAVING
     if attempt.write_deadline_us is not None and now >= attempt.write_deadline_us:
--- a/micadeck/http/upstream.py
+++ b/micadeck/http/upstream.py
@@ -34,15 +34,13 @@
 
     __slots__ = (
         "_network",
-        "check_client",
         "connection",
         "deadline_us",
         "ended",
-        "is_probe",
         "message",
         "on_done",
+        "request",
         "server",
-        "start_streaming",
         "timer",
         "write_deadline_us",
     )
@@ -55,20 +53,16 @@
         message: Callable[[int], Request],
         on_done: AttemptCallback,
         *,
-        is_probe: bool = False,
-        start_streaming: Callable[[Response], bool] | None = None,
+        request: ValidatedRequest | None = None,
         write_deadline_us: int | None = None,
-        check_client: Callable[[], None] | None = None,
     ) -> None:
         self._network = network
         self.server = server
         self.deadline_us = deadline_us
         self.message = message  # builds the request, given the remaining time in microseconds
         self.on_done = on_done
-        self.is_probe = is_probe
+        self.request = request  # None: a health check
         self.write_deadline_us = write_deadline_us  # when an unwritten request is dropped; None: no limit
-        self.start_streaming = start_streaming  # takes an answer that is too large to buffer
-        self.check_client = check_client  # checks whether the client has disconnected
         self.ended = False
         self.connection: ClientConnection | None = None  # set once writing starts
         self.timer: Timer | None = None
@@ -78,6 +72,26 @@
         """Whether a part of it is unsent, so that no server can have started on it."""
         return self.connection is None or self.connection.is_unwritten
 
+    @property
+    def is_body_spent(self) -> bool:
+        """Whether a part of the body was passed on by another attempt, and is not kept."""
+        return self.request is not None and not self.request.can_retry()
+
+    @property
+    def is_probe(self) -> bool:
+        """Whether it is a health check."""
+        return self.request is None
+
+    @property
+    def start_streaming(self) -> Callable[[Response], bool] | None:
+        """Takes an answer that is too large to buffer; None: nobody does."""
+        return None if self.request is None else self.request.start_streaming
+
+    def check_client(self) -> None:
+        """Check whether the client has disconnected, which ends the exchange."""
+        if self.request is not None:
+            self.request.check_client()
+
     def response_deadline(self) -> float:
         """When a streamed answer has to be complete, on the network's clock."""
         left_us = self.deadline_us - self._network.now()
@@ -192,9 +206,8 @@
             deadline_us,
             request.message,
             on_done,
-            start_streaming=request.start_streaming,
+            request=request,
             write_deadline_us=write_deadline_us,
-            check_client=request.check_client,
         )
         self._start(exchange)
         return exchange
@@ -203,14 +216,12 @@
         """Send a health check."""
         target = b"/_load" if self._probes_for_load else b"/ping"
         message = Request(b"GET", target, [(b"host", server.encode())])
-        self._start(
-            Exchange(self._network, server, deadline_us, lambda _left_us: message, on_done, is_probe=True)
-        )
+        self._start(Exchange(self._network, server, deadline_us, lambda _left_us: message, on_done))
 
     def _start(self, exchange: Exchange) -> None:
         server = self._servers.get(exchange.server)
         left_us = exchange.deadline_us - self._network.now()
-        if server is None or server.is_leaving or left_us <= 0:
+        if server is None or server.is_leaving or left_us <= 0 or exchange.is_body_spent:
             self._network.call_soon(self._end, exchange, Outcome.NOT_SENT)
             return
         if exchange.write_deadline_us is not None:
@@ -348,7 +359,7 @@
             return
         server.round_trip_us = connection.min_round_trip_us() or server.round_trip_us
         self._owners[connection] = server
-        if exchange.check_client is not None and not exchange.ended:
+        if not exchange.ended:
             exchange.check_client()
         self._write_if_allowed(exchange, server, connection)
 
