MySQL: classify a long text that begins with blanks

Callers saw their connection closed without an answer: the first word was looked for in the first 64 bytes alone, and an IndexError left data_received. Now it is looked for behind the blanks. The three cases of the new test fail before and pass now.

--- a/micadeck/mysql/statements.py
+++ b/micadeck/mysql/statements.py
@@ -230,7 +230,7 @@
 
 def _classify_long(text: bytes) -> Statement:
     """Classify by the first word, which is enough for a large INSERT, the usual long text."""
-    head = text[:64].lstrip().split(None, 1)[0].lower()
+    head = next(iter(text.lstrip()[:64].split(None, 1)), b"").lower()
     count = 2 if b";" in text.rstrip(b"; \t\r\n") else 1
     if head in (b"insert", b"replace", b"update", b"delete", b"select") and count == 1 and b"@" not in text:
         return Statement(Kind.WRITE)  # without `pure_calls`: calls were not checked
--- a/tests/test_mysql_choices.py
+++ b/tests/test_mysql_choices.py
@@ -220,6 +220,12 @@
     assert not StatementReader().read(b"SELECT " + b"(" * 3_000 + b"1" + b")" * 3_000).is_safe
 
 
+@pytest.mark.parametrize("end", [b"", b"SELECT a FROM t", b"INSERT INTO t VALUES (1)"], ids=str)
+def test_a_long_text_that_begins_with_blanks_is_classified(end: bytes) -> None:
+    # Guards against an exception in place of a classification, which closes the client's connection.
+    assert not StatementReader().read(b" " * 5_000 + end).is_safe
+
+
 @given(st.binary(max_size=200))
 def test_any_bytes_are_classified(raw: bytes) -> None:
     read = StatementReader().read(raw)
