MySQL: cut the classifier into its types, SET and the rest

An unused constant is gone. No change of behaviour: tests of the choices, errors and protocol pass as before.

--- a/micadeck/mysql/client_session.py
+++ b/micadeck/mysql/client_session.py
@@ -41,7 +41,7 @@
 from micadeck.mysql.running_statement import RunningStatement
 from micadeck.mysql.server_connection import ServerConnection
 from micadeck.mysql.session import Handle, LimitError, Session
-from micadeck.mysql.statements import Kind, Pin, Refusal, Statement
+from micadeck.mysql.statement import Kind, Pin, Refusal, Statement
 from micadeck.mysql.transport import Response, StatementRequest
 from micadeck.network import Timer
 
--- a/micadeck/mysql/error_mapping.py
+++ b/micadeck/mysql/error_mapping.py
@@ -16,7 +16,7 @@
 
 from micadeck.mysql.protocol.constants import ErrorCode
 from micadeck.mysql.protocol.messages import Err
-from micadeck.mysql.statements import Kind, Statement
+from micadeck.mysql.statement import Kind, Statement
 
 
 @unique
--- a/micadeck/mysql/routes.py
+++ b/micadeck/mysql/routes.py
@@ -12,7 +12,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from micadeck.mysql.statements import Kind, Statement
+from micadeck.mysql.statement import Kind, Statement
 from micadeck.policy.settings import Idempotency, ServiceClass
 
 
--- a/micadeck/mysql/running_statement.py
+++ b/micadeck/mysql/running_statement.py
@@ -13,7 +13,7 @@
     Part,
 )
 from micadeck.mysql.session import Handle
-from micadeck.mysql.statements import Statement
+from micadeck.mysql.statement import Statement
 from micadeck.mysql.transport import Attempt, Response, StatementRequest
 
 if TYPE_CHECKING:
--- a/micadeck/mysql/server_errors.py
+++ b/micadeck/mysql/server_errors.py
@@ -4,7 +4,7 @@
 
 from micadeck.mysql.protocol.answers import ResponseKind
 from micadeck.mysql.protocol.constants import ErrorCode
-from micadeck.mysql.statements import Statement
+from micadeck.mysql.statement import Statement
 
 SHUTDOWN_CODES = frozenset((ErrorCode.SERVER_SHUTDOWN, 1077, 1079, 1080, 3169))
 # The server's own state prevents the statement: read-only (1290, 1836), out of prepared statements, offline.
--- a/micadeck/mysql/session.py
+++ b/micadeck/mysql/session.py
@@ -12,7 +12,7 @@
 from micadeck.mysql.protocol.constants import Capability, Command, Status
 from micadeck.mysql.protocol.messages import Ok
 from micadeck.mysql.protocol.wire import ProtocolError
-from micadeck.mysql.statements import Kind, Pin, Statement
+from micadeck.mysql.statement import Kind, Pin, Statement
 
 _MULTI_ON, _MULTI_OFF = b"\x00\x00", b"\x01\x00"
 _ONE_STATEMENT_PINS = frozenset((Pin.DIAGNOSTICS,))
--- a/micadeck/mysql/statements.py
+++ b/micadeck/mysql/statements.py
@@ -11,85 +11,15 @@
 import re
 from collections import OrderedDict
 from collections.abc import Sequence
-from dataclasses import dataclass, replace
-from enum import Enum, unique
+from dataclasses import replace
 
 from sqlglot import exp
 from sqlglot.dialects.mysql import MySQL
 from sqlglot.errors import SqlglotError
 from sqlglot.tokenizer_core import Token, TokenType
 
-
-@unique
-class Kind(Enum):
-    """What a text of one or more statements does to its session."""
-
-    READ = "read"  # proved safe to run any number of times, on any server
-    WRITE = "write"  # changes or locks rows; rolled back with its transaction
-    BEGIN = "begin"
-    COMMIT = "commit"
-    ROLLBACK = "rollback"  # of the transaction, without CHAIN, RELEASE or SAVEPOINT
-    SAVEPOINT = "savepoint"  # affects only its transaction
-    SET = "set"  # session variables that can be set on another connection too
-    USE = "use"
-    OPAQUE = "opaque"  # may commit, or has effects that its text does not show
-
-
-@unique
-class Pin(Enum):
-    """Why a session can't leave its server connection."""
-
-    TRANSACTION = "a transaction is open"
-    USER_VARIABLE = "user variables"
-    TEMPORARY_TABLE = "a temporary table"
-    LOCK = "a lock held by its connection"
-    SQL_PREPARE = "a statement prepared by SQL"
-    CURSOR = "an open cursor"
-    VARIABLE = "a variable that can't be put elsewhere"
-    NEXT_TRANSACTION = "SET TRANSACTION for the next one"
-    DIAGNOSTICS = "what the last statement left to be read"
-    NOT_UNDERSTOOD = "a statement whose effects can't be told"
-
-
-@unique
-class Refusal(Enum):
-    """Statements that are always refused."""
-
-    LOCAL_INFILE = "LOAD DATA LOCAL is not carried"
-    KILL = "KILL is not carried: thread ids belong to server connections"
-    REPLICATION = "replication commands are not carried"
-    SHUTDOWN = "SHUTDOWN is not carried"
-
-
-@dataclass(frozen=True, slots=True)
-class Statement:
-    """The classification of a text; `hint` has the options of a leading `/*micadeck: ...*/`."""
-
-    kind: Kind
-    pins: frozenset[Pin] = frozenset()
-    count: int = 1
-    assignments: tuple[tuple[str, str], ...] = ()  # for SET: variable, and value as SQL
-    schema: bytes | None = None  # for USE
-    refusal: Refusal | None = None
-    needs_insert_id: bool = False  # reads LAST_INSERT_ID()
-    needs_diagnostics: bool = False  # reads the diagnostics of the previous statement
-    makes_diagnostics: bool = False  # SQL_CALC_FOUND_ROWS
-    session_value: str | None = None  # answered without a server: "last_insert_id" or "row_count"
-    unlocks_tables: bool = False  # UNLOCK TABLES
-    pure_calls: bool = False  # calls no function with unknown effects on the session
-    shape: str = ""  # the text without its literals
-    hint: tuple[tuple[str, str], ...] = ()
-
-    @property
-    def is_safe(self) -> bool:
-        """Whether it may be repeated outside a transaction when its outcome is unknown."""
-        return self.kind in (Kind.READ, Kind.BEGIN, Kind.SET, Kind.USE)
-
-    @property
-    def is_plain(self) -> bool:
-        """Whether a rollback undoes all its effects, and it can't commit by itself."""
-        return self.kind in (Kind.READ, Kind.WRITE, Kind.SET, Kind.USE, Kind.SAVEPOINT) and self.count == 1
-
+from micadeck.mysql.set_statements import classify_set
+from micadeck.mysql.statement import Kind, Pin, Refusal, Statement
 
 # MySQL functions that read only their arguments, tables, the clock and session variables.
 _PURE_FUNCTIONS = frozenset(
@@ -142,15 +72,6 @@
 _INSERT_ID_WORDS = frozenset(("last_insert_id", "identity"))
 _DIAGNOSTICS = frozenset(("found_rows", "row_count", "warning_count", "error_count", "statement_digest"))
 _LOCK_FUNCTIONS = frozenset(("get_lock", "release_lock", "release_all_locks", "is_free_lock", "is_used_lock"))
-# Variables that are valid only on the connection where they were set, or are not session state.
-_NOT_TRANSFERABLE = frozenset(
-    """
-    last_insert_id identity insert_id timestamp rand_seed1 rand_seed2 pseudo_thread_id
-    pseudo_slave_mode sql_log_bin gtid_next transaction_read_only_next proxy_user external_user
-    password role resource
-    """.split()
-)
-_VALUE_TOKENS = frozenset((TokenType.NUMBER, TokenType.STRING, TokenType.VAR, TokenType.NULL, TokenType.TRUE))
 _HINT = re.compile(rb"\s*/\*\s*micadeck:([^*/\\;'\"]*)\*/")
 _COMMENT = re.compile(rb"\s*/\*(?![!+M])[^*/]*\*/")
 _AMBIGUOUS = re.compile(rb"--|#|/\*|\\|[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
@@ -299,7 +220,7 @@
             is_inside = "to" in words
             return Statement(Kind.SAVEPOINT if is_inside else Kind.OPAQUE)
         case "set":
-            return _classify_set(tokens, words, is_ambiguous)
+            return classify_set(tokens, words, is_ambiguous)
         case "use" if len(tokens) == 2:
             return Statement(Kind.USE, schema=tokens[1].text.encode("latin-1"))
         case "create" | "drop" | "alter" | "truncate" | "rename":
@@ -437,115 +358,3 @@
         return False
     refused = (exp.Lock, exp.Into, exp.Command, exp.DML, exp.DDL, exp.Parameter)
     return not any(isinstance(node, refused) and not isinstance(node, exp.Query) for node in trees[0].walk())
-
-
-# ---------------------------------------------------------------------------------------------------
-# SET
-
-
-def _classify_set(tokens: Sequence[Token], words: Sequence[str], is_ambiguous: bool) -> Statement:
-    rest, names = list(tokens[1:]), list(words[1:])
-    if is_ambiguous or not rest:
-        return Statement(Kind.OPAQUE, frozenset((Pin.VARIABLE,)))
-    if names[0] in ("global", "persist", "persist_only", "password", "default"):
-        return Statement(Kind.OPAQUE)
-    if "transaction" in names[:2] and "=" not in names:
-        return _classify_set_transaction(names)
-    if names[0] == "names" or names[:2] == ["character", "set"] or names[0] == "charset":
-        return _classify_set_names(rest, names)
-    assignments: list[tuple[str, str]] = []
-    pins: set[Pin] = set()
-    for part, part_names in _split_at_commas(rest, names):
-        read = _parse_assignment(part, part_names)
-        if read is None:
-            is_user = part_names[:1] == ["@"] or part[0].token_type is TokenType.PARAMETER
-            pins.add(Pin.USER_VARIABLE if is_user else Pin.VARIABLE)
-            if "global" in part_names or "persist" in part_names:
-                return Statement(Kind.OPAQUE, frozenset((Pin.VARIABLE,)))
-        else:
-            assignments.append(read)
-    if pins:
-        return Statement(Kind.OPAQUE, frozenset(pins))
-    return Statement(Kind.SET, assignments=tuple(assignments))
-
-
-def _split_at_commas(tokens: list[Token], names: list[str]) -> list[tuple[list[Token], list[str]]]:
-    parts: list[tuple[list[Token], list[str]]] = [([], [])]
-    depth = 0
-    for token, name in zip(tokens, names, strict=True):
-        depth += (token.token_type is TokenType.L_PAREN) - (token.token_type is TokenType.R_PAREN)
-        if token.token_type is TokenType.COMMA and depth == 0:
-            parts.append(([], []))
-        else:
-            parts[-1][0].append(token)
-            parts[-1][1].append(name)
-    return [part for part in parts if part[0]]
-
-
-def _parse_assignment(tokens: list[Token], names: list[str]) -> tuple[str, str] | None:
-    """A session variable and a literal, or None."""
-    if names[:1] == ["@@"]:
-        tokens, names = tokens[1:], names[1:]
-        if names[:2] in (["session", "."], ["local", "."]):
-            tokens, names = tokens[2:], names[2:]
-    elif names[:1] in (["session"], ["local"]):
-        tokens, names = tokens[1:], names[1:]
-    if len(tokens) < 3 or tokens[1].token_type not in (TokenType.EQ, TokenType.COLON_EQ):
-        return None
-    name, value = names[0], tokens[2:]
-    if not re.fullmatch(r"[a-z_0-9]+", name) or name in _NOT_TRANSFERABLE:
-        return None
-    sign = ""
-    if value[0].token_type is TokenType.DASH and len(value) == 2:
-        sign, value = "-", value[1:]
-    if len(value) != 1:
-        return None
-    return (name, sign + literal) if (literal := _literal(value[0])) is not None else None
-
-
-def _literal(token: Token) -> str | None:
-    if token.token_type is TokenType.STRING:
-        return "'" + token.text.replace("'", "''") + "'"
-    if token.token_type is TokenType.NUMBER or re.fullmatch(r"[A-Za-z][A-Za-z0-9_-]*", token.text):
-        return token.text
-    return None
-
-
-def _classify_set_names(tokens: list[Token], names: list[str]) -> Statement:
-    words = [token.text for token in tokens]
-    index = 2 if names[0] == "character" else 1
-    charset = words[index] if len(words) > index else ""
-    collation = words[index + 2] if len(words) == index + 3 and names[index + 1] == "collate" else ""
-    is_name = re.compile(r"[A-Za-z0-9_]+")
-    expected = index + 3 if collation else index + 1
-    if names[0] != "names" or not is_name.fullmatch(charset) or len(words) != expected:
-        return Statement(Kind.OPAQUE, frozenset((Pin.VARIABLE,)))
-    value = charset + (f" COLLATE {collation}" if collation and is_name.fullmatch(collation) else "")
-    return Statement(Kind.SET, assignments=(("names", value),))
-
-
-_ISOLATION_LEVELS = {
-    ("read", "uncommitted"): "READ-UNCOMMITTED",
-    ("read", "committed"): "READ-COMMITTED",
-    ("repeatable", "read"): "REPEATABLE-READ",
-    ("serializable",): "SERIALIZABLE",
-}
-
-
-def _classify_set_transaction(names: list[str]) -> Statement:
-    if names[0] not in ("session", "local"):
-        if names[0] != "transaction":
-            return Statement(Kind.OPAQUE)
-        return Statement(Kind.OPAQUE, frozenset((Pin.NEXT_TRANSACTION,)))
-    assignments = []
-    rest = names[2:]
-    parts = " ".join(rest).split(" , ")
-    for part in parts:
-        words = part.split()
-        if words[:2] == ["isolation", "level"] and (level := _ISOLATION_LEVELS.get(tuple(words[2:]))):
-            assignments.append(("transaction_isolation", f"'{level}'"))
-        elif words in (["read", "only"], ["read", "write"]):
-            assignments.append(("transaction_read_only", "1" if words[1] == "only" else "0"))
-        else:
-            return Statement(Kind.OPAQUE, frozenset((Pin.VARIABLE,)))
-    return Statement(Kind.SET, assignments=tuple(assignments))
--- a/micadeck/mysql/transport.py
+++ b/micadeck/mysql/transport.py
@@ -21,7 +21,7 @@
 from micadeck.mysql.server_connection import OVER_LIMIT_CODES, ConnectionLost, Credentials, ServerConnection
 from micadeck.mysql.server_errors import SHUTDOWN_CODES, had_no_effect, is_server_state
 from micadeck.mysql.session import Handle, Session, must_reset, state_commands
-from micadeck.mysql.statements import Statement
+from micadeck.mysql.statement import Statement
 from micadeck.network import Address, Network, Timer
 from micadeck.network.scheduling_delay import wait_excluding_lag
 from micadeck.policy.events import ServerState
--- a/tests/test_mysql_choices.py
+++ b/tests/test_mysql_choices.py
@@ -14,7 +14,8 @@
 from micadeck.mysql.protocol.messages import Ok
 from micadeck.mysql.routes import Routes, Rule
 from micadeck.mysql.session import ConnectionState, Session, must_reset, state_commands
-from micadeck.mysql.statements import Kind, Pin, Refusal, StatementReader, classify
+from micadeck.mysql.statement import Kind, Pin, Refusal
+from micadeck.mysql.statements import StatementReader, classify
 from micadeck.policy.settings import Idempotency, ServiceClass
 
 # ---------------------------------------------------------------------------------------------------
