MySQL: classify long texts in little time and memory

Cause: the classifier shaped a text of any length by regular expressions on the event loop; the one for literals kept a place to go back to for each character.

Change: the expression keeps none, and a text of over 64 KiB is not shaped at all: single bytes are searched for, in windows. It is never safe to repeat, and is a write without a pin by its first word; `;` in a literal is no separator, refused commands are refused at any length, and the shape that rules see holds nothing of a literal that is cut off.

--- a/micadeck/mysql/statements.py
+++ b/micadeck/mysql/statements.py
@@ -18,6 +18,7 @@
 from sqlglot.errors import SqlglotError
 from sqlglot.tokenizer_core import Token, TokenType
 
+from micadeck.mysql.long_texts import first_words, has_further_statement, head_of
 from micadeck.mysql.set_statements import classify_set
 from micadeck.mysql.statement import Kind, Pin, Refusal, Statement
 
@@ -75,13 +76,15 @@
 _HINT = re.compile(rb"\s*/\*\s*micadeck:([^*/\\;'\"]*)\*/")
 _COMMENT = re.compile(rb"\s*/\*(?![!+M])[^*/]*\*/")
 _AMBIGUOUS = re.compile(rb"--|#|/\*|\\|[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
-_LITERAL = re.compile(r"'(?:[^']|'')*'|\b0[xX][0-9a-fA-F]+\b|(?<![\w.`$])\d+(?:\.\d+)?(?:[eE][+-]?\d+)?\b")
+_LITERAL = re.compile(r"'(?:[^']++|'')*+'|\b0[xX][0-9a-fA-F]+\b|(?<![\w.`$])\d+(?:\.\d+)?(?:[eE][+-]?\d+)?\b")
 _LIST = re.compile(r"\?(?:\s*,\s*\?){7,}")  # longer than the argument list of any function with a fixed count
 _EIGHT_PLACEHOLDERS = ", ".join("?" * 8)
 _ROWS = re.compile(r"(\([?,\s]+\))(?:\s*,\s*\1)+")
 _SET_OR_USE = re.compile(rb"\s*(?:set|use)\b", re.IGNORECASE)
 _WITHOUT_QUOTES = re.compile(rb"[^\"`@]*")
 _MAX_PARSED_BYTES = 1 << 12  # parsing takes 5 ms per KiB; a longer text counts as unsafe
+_MAX_SHAPED_BYTES = 1 << 16  # finding literals takes up to 20 ms; a longer text is not parsed at all
+_SHAPE_CHARACTERS = 256  # of a shape that are kept
 _MAX_SHAPES = 4_096
 _DIALECT = MySQL()
 
@@ -97,17 +100,20 @@
         self.cache_misses = 0
 
     def read(self, text: bytes) -> Statement:
+        """Classify a text of one or more statements."""
         hint, body = _split_hint(text)
+        if len(body) > _MAX_SHAPED_BYTES:
+            return replace(_classify_long(body), shape=_shape(head_of(body))[:_SHAPE_CHARACTERS], hint=hint)
         shape = body.decode("latin-1")
         if not _AMBIGUOUS.search(body) and _WITHOUT_QUOTES.fullmatch(body) and not _SET_OR_USE.match(body):
             # The classification depends on no literal's value, nor on the length of a long list.
-            shape = _ROWS.sub(r"\1", _LIST.sub(_EIGHT_PLACEHOLDERS, _LITERAL.sub("?", shape)))
+            shape = _shape(body)
         cached = self._cache.get(shape)
         if cached is not None:
             self._cache.move_to_end(shape)
         else:
             self.cache_misses += 1
-            cached = replace(classify(shape.encode("latin-1")), shape=shape[:256])
+            cached = replace(classify(shape.encode("latin-1")), shape=shape[:_SHAPE_CHARACTERS])
             if len(shape) <= _MAX_PARSED_BYTES:
                 self._cache[shape] = cached
                 if len(self._cache) > self._max_shapes:
@@ -115,8 +121,13 @@
         return replace(cached, hint=hint) if hint else cached
 
 
+def _shape(text: bytes) -> str:
+    """A text with a placeholder for each literal, and long lists cut to one length."""
+    return _ROWS.sub(r"\1", _LIST.sub(_EIGHT_PLACEHOLDERS, _LITERAL.sub("?", text.decode("latin-1"))))
+
+
 def _split_hint(text: bytes) -> tuple[tuple[tuple[str, str], ...], bytes]:
-    found = _HINT.match(text)
+    found = _HINT.match(text, 0, _MAX_SHAPED_BYTES)
     if found is None:
         return (), text
     pairs = (each.partition("=") for each in found[1].decode("latin-1").split(","))
@@ -151,11 +162,11 @@
 
 def _classify_long(text: bytes) -> Statement:
     """Classify by the first word, which is enough for a large INSERT, the usual long text."""
-    head = next(iter(text.lstrip()[:64].split(None, 1)), b"").lower()
-    count = 2 if b";" in text.rstrip(b"; \t\r\n") else 1
-    if head in (b"insert", b"replace", b"update", b"delete", b"select") and count == 1 and b"@" not in text:
+    first, *rest = first_words(text) or [""]
+    count = 2 if has_further_statement(text) else 1
+    if first in ("insert", "replace", "update", "delete", "select") and count == 1 and b"@" not in text:
         return Statement(Kind.WRITE)  # without `pure_calls`: calls were not checked
-    return replace(_NOT_UNDERSTOOD, count=count)
+    return replace(_NOT_UNDERSTOOD, count=count, refusal=_classify_command(first, " ".join(rest)).refusal)
 
 
 def _split_statements(tokens: Sequence[Token]) -> list[list[Token]]:
--- a/tests/test_mysql_choices.py
+++ b/tests/test_mysql_choices.py
@@ -4,11 +4,15 @@
 
 import random
 import re
+import time
+import tracemalloc
+from unittest import mock
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from micadeck.mysql import long_texts
 from micadeck.mysql.pool import Dial, Full, Pool, PoolLimits, Use
 from micadeck.mysql.protocol.constants import Capability, Command, Status
 from micadeck.mysql.protocol.messages import Ok
@@ -227,6 +231,110 @@
     assert not StatementReader().read(b" " * 5_000 + end).is_safe
 
 
+MEGABYTES_12 = 12 << 20
+UNPINNED, PINNED = frozenset[Pin](), frozenset((P.NOT_UNDERSTOOD,))
+STILL_S = 0.5  # after so long without the loop, HTTP answers beside it are lost
+_LONG_TEXTS = {
+    "one literal": (b"INSERT INTO t VALUES ('", b"x", b"')"),
+    "a literal with separators": (b"INSERT INTO t VALUES ('", b"x;", b"')"),
+    "quotes in a literal": (b"INSERT INTO t VALUES ('", b"''", b"')"),
+    "literals with separators": (b"INSERT INTO t VALUES (", b"';',", b"'x')"),
+    "an open literal": (b"INSERT INTO t VALUES ('", b"x", b""),
+    "short literals": (b"INSERT INTO t VALUES ", b"('a','b'),", b"('c','d')"),
+    "numbers": (b"SELECT a FROM t WHERE b IN (", b"1,", b"1)"),
+    "rows of two lengths": (b"INSERT INTO t VALUES ", b"(1,2),(1,2,3),", b"(1)"),
+    "blanks": (b"INSERT INTO t VALUES (1,", b" ", b"2)"),
+    "leading blanks": (b"", b" ", b"SELECT 1"),
+    "words": (b"SELECT ", b"abc ", b"FROM t"),
+    "double quotes": (b'INSERT INTO t VALUES ("', b"x", b'")'),
+    "backslashes": (b"INSERT INTO t VALUES ('", b"x\\'", b"')"),
+    "a hint": (b"/* micadeck:", b"a=b,", b"*/ SELECT 1"),
+    "a comment": (b"/*", b"a ", b"*/ SELECT 1"),
+    "comments": (b"", b"/**/", b"SELECT 1"),
+    "separators": (b"SELECT 1", b";", b""),
+    "digits": (b"INSERT INTO t VALUES (", b"1", b")"),
+    "parentheses": (b"SELECT ", b"(", b"1"),
+    "SET": (b"SET x = '", b"x", b"'"),
+}
+
+
+def long_text(form: str, size: int) -> bytes:
+    begin, unit, end = _LONG_TEXTS[form]
+    return begin + unit * (size // len(unit)) + end
+
+
+@pytest.mark.parametrize("form", _LONG_TEXTS)
+def test_a_text_of_megabytes_is_classified_in_little_time_and_memory(form: str) -> None:
+    # Guards against a statement that takes the process over its memory limit and holds up its event loop.
+    text = long_text(form, MEGABYTES_12)
+    began = time.process_time()
+    read = StatementReader().read(text)
+    assert time.process_time() - began < STILL_S
+    assert not read.is_safe
+    tracemalloc.start()
+    try:
+        StatementReader().read(text)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < len(text) + (1 << 20)  # one copy, as of a text without its blanks
+
+
+@pytest.mark.parametrize(
+    ("text", "kind", "count", "pins"),
+    [
+        (b"INSERT INTO t VALUES ('%b')", K.WRITE, 1, UNPINNED),
+        (b"INSERT INTO t VALUES ('%b;it''s; one')", K.WRITE, 1, UNPINNED),
+        (b"/* a comment */ INSERT INTO t VALUES ('%b') ; ", K.WRITE, 1, UNPINNED),
+        (b"SELECT a FROM t WHERE b = '%b'", K.WRITE, 1, UNPINNED),
+        (b"INSERT INTO t VALUES ('%b'); DELETE FROM t", K.OPAQUE, 2, PINNED),
+        (
+            b"INSERT INTO t VALUES ('it''s', '%b'); DELETE FROM t WHERE a = ';'",
+            K.OPAQUE,
+            2,
+            {P.NOT_UNDERSTOOD},
+        ),
+        (b'INSERT INTO t VALUES ("%b;")', K.OPAQUE, 2, PINNED),  # a name or a literal
+        (b"INSERT INTO t VALUES ('%b\\'; DELETE FROM t; ')", K.OPAQUE, 2, PINNED),
+        (b"INSERT INTO t VALUES ('%b', @a)", K.OPAQUE, 1, PINNED),
+        (b"CALL lodge('%b')", K.OPAQUE, 1, PINNED),
+        (b"BEGIN; SELECT '%b'", K.OPAQUE, 2, PINNED),
+    ],
+)
+@pytest.mark.parametrize("size", [70_000, 200_001])
+def test_a_long_text_counts_as_what_its_first_word_and_separators_say(
+    text: bytes, kind: Kind, count: int, pins: frozenset[Pin], size: int
+) -> None:
+    read = StatementReader().read(text % (b"x" * size))
+    assert (read.kind, read.count, read.pins) == (kind, count, pins)
+    assert not read.is_safe and not read.pure_calls
+
+
+@pytest.mark.parametrize(
+    ("text", "refusal"),
+    [
+        (b"LOAD DATA LOCAL INFILE '%b' INTO TABLE t", Refusal.LOCAL_INFILE),
+        (b"KILL /* %b */ 1", Refusal.KILL),
+        (b"/* a comment */ SHUTDOWN %b", Refusal.SHUTDOWN),
+    ],
+)
+def test_a_long_text_is_refused_as_a_short_one(text: bytes, refusal: Refusal) -> None:
+    assert StatementReader().read(text % (b"x" * 70_000)).refusal is refusal
+
+
+def test_the_shape_of_a_long_text_holds_nothing_of_its_literals() -> None:
+    # An operator's rule may trust a shape: what a client writes into a literal must not match it.
+    text = b"INSERT INTO t VALUES (1, 'it''s', '" + b"CALL trusted() " * 10_000 + b"')"
+    assert StatementReader().read(text).shape == "INSERT INTO t VALUES (?, ?, "
+
+
+@given(st.text("';a \n", max_size=30), st.integers(1, 7))
+def test_separators_are_found_outside_of_literals_alone(text: str, window: int) -> None:
+    outside = re.sub(r"'[^']*('|$)", "", text.rstrip("; \n"))
+    with mock.patch.object(long_texts, "_WINDOW_BYTES", window):
+        assert long_texts.has_further_statement(text.encode()) == (";" in outside)
+
+
 @given(st.binary(max_size=200))
 def test_any_bytes_are_classified(raw: bytes) -> None:
     read = StatementReader().read(raw)
