Keep a loop that failed as it began, whose socket the signals use

The failed loop's socket is the one that signals are written to; nobody kept the loop, so a collection closed it, and the next loop could not restore it. Loops are kept now.

--- a/micadeck/daemon.py
+++ b/micadeck/daemon.py
@@ -27,6 +27,8 @@
 EXIT_NO_START = 1
 EXIT_BAD_CONFIGURATION = 2
 _MIN_REQUEST_MEMORY_MB = 2  # on top of the idle process's memory
+# A loop that failed as it ran owns the descriptor that signals are written to, and must not be collected.
+_created_loops: list[asyncio.AbstractEventLoop] = []
 
 
 def reload(sidecar: Sidecar, log: RateLimitedLog, requested_at: float | None = None) -> None:
@@ -168,6 +170,7 @@
     for end in socket.socketpair():
         end.close()
     loop = uvloop.new_event_loop()
+    _created_loops.append(loop)
     loop.call_soon(loop.stop)
     loop.run_forever()
     return loop
