--- a/micadeck/mysql/long_texts.py
+++ b/micadeck/mysql/long_texts.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterable
 
 _WINDOW_BYTES = 1 << 16
 _HEAD_BYTES = 1 << 12  # of a text: its first word and shape lie in it
@@ -16,7 +17,7 @@
 _AMBIGUOUS_MARKS = (b"--", b"#", b"/*", b"\\", b'"', b"`")
 _NOT_QUOTE_OR_SEPARATOR = bytes({*range(256)} - {ord("'"), ord(";")})
 _QUOTED_THEN_SEPARATOR = re.compile(rb"(?:'[^']*+')*+;")
-_LEADING_COMMENT = re.compile(rb"\s*/\*(?![!+M])[^*/]*\*/")
+LEADING_COMMENT = re.compile(rb"\s*/\*(?![!+M])[^*/]*\*/")
 
 
 def _windows(text: bytes) -> range:
@@ -56,11 +57,17 @@
     return False
 
 
+def mentions(text: bytes, words: Iterable[str]) -> bool:
+    """Whether one of these words in lower case may stand in a text, in whatever case; literals count too."""
+    lowered = text.lower()
+    return any(word.encode() in lowered for word in words)
+
+
 def head_of(text: bytes) -> bytes:
     """The beginning of a text behind its blanks and comments, with nothing of a literal that is cut off."""
     head = text.lstrip()[:_HEAD_BYTES]
     position = 0
-    while (comment := _LEADING_COMMENT.match(head, position)) is not None:
+    while (comment := LEADING_COMMENT.match(head, position)) is not None:
         position = comment.end()
     head = head[position:]
     if head.count(b"'") % 2 == 1:
--- a/micadeck/mysql/statements.py
+++ b/micadeck/mysql/statements.py
@@ -18,7 +18,7 @@
 from sqlglot.errors import SqlglotError
 from sqlglot.tokenizer_core import Token, TokenType
 
-from micadeck.mysql.long_texts import first_words, has_further_statement, head_of
+from micadeck.mysql.long_texts import LEADING_COMMENT, first_words, has_further_statement, head_of, mentions
 from micadeck.mysql.set_statements import classify_set
 from micadeck.mysql.statement import Kind, Pin, Refusal, Statement
 
@@ -74,12 +74,12 @@
 _DIAGNOSTICS = frozenset(("found_rows", "row_count", "warning_count", "error_count", "statement_digest"))
 _LOCK_FUNCTIONS = frozenset(("get_lock", "release_lock", "release_all_locks", "is_free_lock", "is_used_lock"))
 _HINT = re.compile(rb"\s*/\*\s*micadeck:([^*/\\;'\"]*)\*/")
-_COMMENT = re.compile(rb"\s*/\*(?![!+M])[^*/]*\*/")
 _AMBIGUOUS = re.compile(rb"--|#|/\*|\\|[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
 _LITERAL = re.compile(r"'(?:[^']++|'')*+'|\b0[xX][0-9a-fA-F]+\b|(?<![\w.`$])\d+(?:\.\d+)?(?:[eE][+-]?\d+)?\b")
 _LIST = re.compile(r"\?(?:\s*,\s*\?){7,}")  # longer than the argument list of any function with a fixed count
 _EIGHT_PLACEHOLDERS = ", ".join("?" * 8)
 _ROWS = re.compile(r"(\([?,\s]+\))(?:\s*,\s*\1)+")
+_SETS_INSERT_ID = re.compile(rb"last_insert_id\s*\((?!\s*\))", re.IGNORECASE)
 _SET_OR_USE = re.compile(rb"\s*(?:set|use)\b", re.IGNORECASE)
 _WITHOUT_QUOTES = re.compile(rb"[^\"`@]*")
 _MAX_PARSED_BYTES = 1 << 12  # parsing takes 5 ms per KiB; a longer text counts as unsafe
@@ -137,7 +137,7 @@
 
 def classify(text: bytes) -> Statement:
     """Classify a text of one or more statements, without its hint."""
-    while (comment := _COMMENT.match(text)) is not None:
+    while (comment := LEADING_COMMENT.match(text)) is not None:
         text = text[comment.end() :]
     if len(text) > _MAX_PARSED_BYTES:
         return _classify_long(text)
@@ -164,8 +164,12 @@
     """Classify by the first word, which is enough for a large INSERT, the usual long text."""
     first, *rest = first_words(text) or [""]
     count = 2 if has_further_statement(text) else 1
-    if first in ("insert", "replace", "update", "delete", "select") and count == 1 and b"@" not in text:
-        return Statement(Kind.WRITE)  # without `pure_calls`: calls were not checked
+    is_change = first in ("insert", "replace", "update", "delete", "select") and count == 1
+    if is_change and b"@" not in text and not mentions(text, _LOCK_FUNCTIONS | _DIAGNOSTICS):
+        needs_insert_id = mentions(text, _INSERT_ID_WORDS)
+        if not (needs_insert_id and _SETS_INSERT_ID.search(text)):
+            # Without `pure_calls`: calls were not checked.
+            return Statement(Kind.WRITE, needs_insert_id=needs_insert_id)
     return replace(_NOT_UNDERSTOOD, count=count, refusal=_classify_command(first, " ".join(rest)).refusal)
 
 
--- a/tests/test_mysql_choices.py
+++ b/tests/test_mysql_choices.py
@@ -299,6 +299,8 @@
         (b"INSERT INTO t VALUES ('%b', @a)", K.OPAQUE, 1, PINNED),
         (b"CALL lodge('%b')", K.OPAQUE, 1, PINNED),
         (b"BEGIN; SELECT '%b'", K.OPAQUE, 2, PINNED),
+        (b"INSERT INTO t VALUES ('%b', Get_Lock('a', 1))", K.OPAQUE, 1, PINNED),
+        (b"SELECT SQL_CALC_FOUND_ROWS a FROM t WHERE b = '%b'", K.OPAQUE, 1, PINNED),
     ],
 )
 @pytest.mark.parametrize("size", [70_000, 200_001])
@@ -310,6 +312,23 @@
     assert not read.is_safe and not read.pure_calls
 
 
+@pytest.mark.parametrize(
+    ("value", "needs_insert_id", "pins"),
+    [
+        (b"1", False, UNPINNED),
+        (b"LAST_INSERT_ID()", True, UNPINNED),
+        (b"last_insert_id ( )", True, UNPINNED),
+        (b"Last_Insert_Id(7)", False, PINNED),  # which sets it
+    ],
+)
+def test_a_long_text_is_known_to_read_the_last_insert_id(
+    value: bytes, needs_insert_id: bool, pins: frozenset[Pin]
+) -> None:
+    # Guards against the id of another session, which used the same server connection.
+    read = StatementReader().read(b"INSERT INTO t VALUES (%b, '%b')" % (value, b"x" * 70_000))
+    assert (read.needs_insert_id, read.pins) == (needs_insert_id, pins)
+
+
 @pytest.mark.parametrize(
     ("text", "refusal"),
     [
