Read the change once more: less kept twice, plainer names

Loops that failed are kept in one place, not two; the two reservations of a start are one loop; a long text is searched for words once; an exchange's flag says that its answer is unwanted. No change of behaviour; tests unchanged.

--- a/micadeck/daemon.py
+++ b/micadeck/daemon.py
@@ -27,7 +27,7 @@
 EXIT_NO_START = 1
 EXIT_BAD_CONFIGURATION = 2
 _MIN_REQUEST_MEMORY_MB = 2  # on top of the idle process's memory
-# A loop that failed as it ran owns the descriptor that signals are written to, and must not be collected.
+# Kept: a loop that failed as it ran can't be closed, and owns the descriptor that signals are written to.
 _created_loops: list[asyncio.AbstractEventLoop] = []
 
 
@@ -180,7 +180,6 @@
     """Serve on an event loop; retry while one can't be created or fails as it begins to run."""
     retry = StartupRetry(time.monotonic())
     has_run = False
-    abandoned: list[asyncio.Runner] = []  # a loop that failed as it began to run can't be closed
 
     def on_loop_running() -> None:
         nonlocal has_run
@@ -195,7 +194,6 @@
             if has_run:
                 runner.close()
                 raise
-            abandoned.append(runner)
             if not _wait_for_retry(retry, error, f"event loop: {error}", signals):
                 raise
         except BaseException:
--- a/micadeck/http/listener.py
+++ b/micadeck/http/listener.py
@@ -135,7 +135,7 @@
             self.network.call_later(delay_s + _TIMER_MARGIN_S, self._apply_due_settings)
 
     def _apply_due_settings(self) -> None:
-        """Bring every due version into force, one after the other, as requests in between would have."""
+        """Bring every due version into force, one after the other."""
         while self._versions.apply_due(self.network.now()):
             self.on_settings(self._versions.settings)
 
--- a/micadeck/http/settings_versions.py
+++ b/micadeck/http/settings_versions.py
@@ -104,7 +104,7 @@
         """The class for a request of this name and idempotency, and whether it is from previous settings.
 
         A request that is valid only under a pending version brings it into force: its client follows it, and
-        so has passed those before it.  One that a version replaced a short time ago explains does not.
+        so has passed those before it.  If it is valid under a version in its overlap, it gets that one.
 
         None: there is no class of this name.  A class of another idempotency is still returned, so that the
         caller can report the error.
--- a/micadeck/http/upstream.py
+++ b/micadeck/http/upstream.py
@@ -37,7 +37,7 @@
         "connection",
         "deadline_us",
         "ended",
-        "is_refused",
+        "is_answer_unwanted",
         "message",
         "on_done",
         "request",
@@ -65,7 +65,7 @@
         self.request = request  # None: a health check
         self.write_deadline_us = write_deadline_us  # when an unwritten request is dropped; None: no limit
         self.ended = False
-        self.is_refused = False  # nobody takes its answer, which is cut off
+        self.is_answer_unwanted = False  # its answer began, and nobody takes it
         self.connection: ClientConnection | None = None  # set once writing starts
         self.timer: Timer | None = None
 
@@ -109,8 +109,8 @@
         connection.set_response_deadline(self.response_deadline())
         response.abandon = connection.abandon
         response.attempt = self
-        self.is_refused = not self.start_streaming(response)
-        return not self.is_refused
+        self.is_answer_unwanted = not self.start_streaming(response)
+        return not self.is_answer_unwanted
 
 
 @dataclass(slots=True, eq=False)
@@ -316,7 +316,7 @@
 
     def _write(self, exchange: Exchange, connection: ClientConnection) -> None:
         def on_end(result: Response | Failure) -> None:
-            outcome = Outcome.CANCELLED if exchange.is_refused else _outcome(result)
+            outcome = Outcome.CANCELLED if exchange.is_answer_unwanted else _outcome(result)
             self._end(exchange, outcome, result if isinstance(result, Response) else None)
 
         exchange.connection = connection
--- a/micadeck/mysql/long_texts.py
+++ b/micadeck/mysql/long_texts.py
@@ -57,10 +57,10 @@
     return False
 
 
-def mentions(text: bytes, words: Iterable[str]) -> bool:
-    """Whether one of these words in lower case may stand in a text, in whatever case; literals count too."""
+def words_in(text: bytes, words: Iterable[str]) -> frozenset[str]:
+    """Which of these words in lower case stand in a text, in whatever case; literals count too."""
     lowered = text.lower()
-    return any(word.encode() in lowered for word in words)
+    return frozenset(word for word in words if word.encode() in lowered)
 
 
 def head_of(text: bytes) -> bytes:
--- a/micadeck/mysql/statements.py
+++ b/micadeck/mysql/statements.py
@@ -18,7 +18,7 @@
 from sqlglot.errors import SqlglotError
 from sqlglot.tokenizer_core import Token, TokenType
 
-from micadeck.mysql.long_texts import LEADING_COMMENT, first_words, has_further_statement, head_of, mentions
+from micadeck.mysql.long_texts import LEADING_COMMENT, first_words, has_further_statement, head_of, words_in
 from micadeck.mysql.set_statements import classify_set
 from micadeck.mysql.statement import Kind, Pin, Refusal, Statement
 
@@ -165,9 +165,10 @@
     first, *rest = first_words(text) or [""]
     count = 2 if has_further_statement(text) else 1
     is_change = first in ("insert", "replace", "update", "delete", "select") and count == 1
-    if is_change and b"@" not in text and not mentions(text, _LOCK_FUNCTIONS | _DIAGNOSTICS):
-        needs_insert_id = mentions(text, _INSERT_ID_WORDS)
-        if not (needs_insert_id and _SETS_INSERT_ID.search(text)):
+    if is_change and b"@" not in text:
+        used = words_in(text, _LOCK_FUNCTIONS | _DIAGNOSTICS | _INSERT_ID_WORDS)
+        needs_insert_id = bool(used) and used <= _INSERT_ID_WORDS
+        if not used or (needs_insert_id and not _SETS_INSERT_ID.search(text)):
             # Without `pure_calls`: calls were not checked.
             return Statement(Kind.WRITE, needs_insert_id=needs_insert_id)
     return replace(_NOT_UNDERSTOOD, count=count, refusal=_classify_command(first, " ".join(rest)).refusal)
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -123,12 +123,10 @@
         if self.admin is not None and config.operator is not None:
             await self._bind("operator", config.operator, self.admin.listen, is_ending)
         with ExitStack() as reservations:
-            reserve = self._network.reserve
             if self.mysql is not None:
-                reservation = await self._bind("mysql", self.mysql.address, reserve, is_ending)
-                reservations.callback(reservation.close)
-                reservation = await self._bind("listen", config.listen, reserve, is_ending)
-                reservations.callback(reservation.close)
+                for key, address in (("mysql", self.mysql.address), ("listen", config.listen)):
+                    reservation = await self._bind(key, address, self._network.reserve, is_ending)
+                    reservations.callback(reservation.close)
             await self._bind("listen", config.listen, self.listener.listen, is_ending)
             if self.mysql is not None:
                 await self._wait_for_mysql_list(self.mysql, is_ending)
