Share the set-ups of the tests on hedging and takeovers; cases that were missing

One class of hanging servers and tables in place of like tests; every assertion stays. New cases: a body in chunks that is half received, an answer that comes when the other one is whole, transactions open at both processes of a takeover.

--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -5,11 +5,11 @@
 import asyncio
 import hashlib
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import pytest
-from loopback import HOST, Harness, async_test, list_entry, read_head, request, run_harness, until
+from loopback import ERROR, HOST, Harness, async_test, list_entry, read_head, request, run_harness, until
 from test_bodies import CallbackServer, Serve, content, read_body
 
 from micadeck.engine.send_guard import SendDenial, send_denial
@@ -27,6 +27,13 @@
 PART_BYTES, PART_S = 32 << 10, 0.08  # an answer takes longer than a silent server hangs
 
 
+REJECTION = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+
+
+def answer_of(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
 def digest(body: bytes) -> bytes:
     return hashlib.sha256(body).digest()
 
@@ -42,12 +49,11 @@
     return request(KEYED, Content_Length="", Transfer_Encoding="chunked") + chunked(body)
 
 
-class Fleet:
-    """Servers of which the first to get an upload answers nothing for a while."""
+class HangingServers:
+    """Servers of which the first to get a request of interest answers nothing for a while."""
 
-    def __init__(self, hangs_s: float) -> None:
-        self.uploads: list[bytes] = []  # digests of their bodies, in order
-        self.begun = 0  # uploads whose head a server received
+    def __init__(self, hangs_s: float = HANGS_S) -> None:
+        self.begun = 0  # requests of interest whose head a server received
         self._hangs_s = hangs_s
         self._hung: int | None = None
         self._hangs_until = 0.0
@@ -57,87 +63,71 @@
             loop = asyncio.get_running_loop()
             while True:
                 line, headers = await read_head(reader)
-                if line.startswith("POST"):
+                is_of_interest = line.startswith("POST") or "large" in line
+                if is_of_interest:
                     self.begun += 1
                     if self._hung is None:
                         self._hung, self._hangs_until = number, loop.time() + self._hangs_s
-                    self.uploads.append(digest(await read_body(reader, headers)))
+                        self.hung_writer = writer
+                    self.received(await read_body(reader, headers))
                 if number == self._hung:
                     await asyncio.sleep(max(self._hangs_until - loop.time(), 0.0))
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+                if is_of_interest:
+                    await self.answer(writer, is_hung=number == self._hung)
+                else:
+                    writer.write(answer_of(b"ok"))
 
         return serve
 
+    def received(self, body: bytes) -> None:
+        """Take the body of a request of interest."""
 
-Lose = Callable[[asyncio.StreamWriter], None]
-
-
-def answer_whole(writer: asyncio.StreamWriter) -> None:
-    writer.write(LARGE_HEAD + LARGE_ANSWER)
-
-
-def answer_small(writer: asyncio.StreamWriter) -> None:
-    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother")
-
-
-def answer_error(writer: asyncio.StreamWriter) -> None:
-    writer.write(b"HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n")
+    async def answer(self, writer: asyncio.StreamWriter, *, is_hung: bool) -> None:
+        writer.write(answer_of(b"ok"))
 
 
-def reject(writer: asyncio.StreamWriter) -> None:
-    writer.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+class Uploads(HangingServers):
+    """They run each request that they have received whole."""
 
+    def __init__(self, hangs_s: float = HANGS_S) -> None:
+        super().__init__(hangs_s)
+        self.run: list[bytes] = []  # digests of bodies, in order
 
-def reset(writer: asyncio.StreamWriter) -> None:
-    writer.transport.abort()
+    def received(self, body: bytes) -> None:
+        self.run.append(digest(body))
 
 
-class LargeAnswers:
-    """Servers that write a large answer slowly; the first to be asked for it is silent, then loses.
+class LargeAnswers(HangingServers):
+    """They write a large answer slowly; the one that hung ends its attempt with `loses` (None: a reset).
 
-    It ends its attempt by `lose` while another server's answer is being passed on, or as that one begins.
+    It does so while another server's answer is being passed on, or in the step in which that one begins.
     """
 
-    def __init__(self, lose: Lose, *, loses_with_the_start: str = "") -> None:
-        self.asked = 0
-        self._lose = lose
-        self._loses_with_the_start = loses_with_the_start  # "before" or "after" it, in one step
-        self._hung: int | None = None
-        self._hangs_until = 0.0
-        self._loser: asyncio.StreamWriter | None = None
-
-    def server(self, number: int) -> Serve:
-        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, _: int) -> None:
-            loop = asyncio.get_running_loop()
-            while True:
-                line, _headers = await read_head(reader)
-                is_large = "large" in line
-                if is_large:
-                    self.asked += 1
-                    if self._hung is None:
-                        self._hung, self._hangs_until = number, loop.time() + HANGS_S
-                        self._loser = writer
-                if number == self._hung:
-                    await asyncio.sleep(max(self._hangs_until - loop.time(), 0.0))
-                    if is_large and not self._loses_with_the_start:
-                        self._lose(writer)
-                elif is_large:
-                    await self._write_slowly(writer)
-                if not is_large:
-                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-
-        return serve
-
-    async def _write_slowly(self, writer: asyncio.StreamWriter) -> None:
-        if self._loses_with_the_start == "before" and self._loser is not None:
-            self._lose(self._loser)
+    def __init__(self, loses: bytes | None, hangs_s: float = HANGS_S, at_start: str = "") -> None:
+        super().__init__(hangs_s)
+        self._loses = loses
+        self._at_start = at_start  # "before" or "after" the other answer's first part
+
+    async def answer(self, writer: asyncio.StreamWriter, *, is_hung: bool) -> None:
+        if is_hung:
+            if not self._at_start:
+                self._lose()
+            return
+        if self._at_start == "before":
+            self._lose()
         writer.write(LARGE_HEAD)
         for at in range(0, len(LARGE_ANSWER), PART_BYTES):
             writer.write(LARGE_ANSWER[at : at + PART_BYTES])
-            if at == 0 and self._loses_with_the_start == "after" and self._loser is not None:
-                self._lose(self._loser)
+            if at == 0 and self._at_start == "after":
+                self._lose()
             await asyncio.sleep(PART_S)
 
+    def _lose(self) -> None:
+        if self._loses is None:
+            self.hung_writer.transport.abort()
+        else:
+            self.hung_writer.write(self._loses)
+
 
 async def ask_in_background(harness: Harness) -> None:
     """Send requests one after the other, each with a client of its own, until cancelled."""
@@ -154,7 +144,7 @@
 
 @asynccontextmanager
 async def hedging_sidecar(
-    fleet: Fleet | LargeAnswers, count: int = 6, *, may_cancel: bool = True
+    fleet: HangingServers, count: int = 6, *, may_cancel: bool = True
 ) -> AsyncIterator[Harness]:
     """A sidecar that may hedge, before servers of this fleet, under load."""
     servers = [await CallbackServer(fleet.server(number)).start() for number in range(count)]
@@ -177,80 +167,73 @@
 # The request's body
 
 
-@pytest.mark.parametrize("framing", ["length", "chunked"])
+@pytest.mark.parametrize(
+    ("framing", "body", "level", "half"),
+    [
+        ("length", UPLOAD, PressureLevel.NORMAL, False),
+        ("chunked", UPLOAD, PressureLevel.NORMAL, False),
+        ("length", UPLOAD, PressureLevel.NORMAL, True),
+        ("chunked", UPLOAD, PressureLevel.NORMAL, True),
+        ("chunked", content(20 << 10), PressureLevel.PASS_ON, False),  # streamed for lack of memory
+    ],
+    ids=["length", "chunks", "half with length", "half in chunks", "memory"],
+)
 @async_test
-async def test_a_body_that_is_passed_on_reaches_one_server_whole(framing: str) -> None:
+async def test_a_body_that_is_passed_on_reaches_one_server_whole(
+    framing: str, body: bytes, level: PressureLevel, half: bool
+) -> None:
     # Guards against a hedged copy with an empty body, which a server runs under the client's key.
-    fleet = Fleet(HANGS_S)
-    async with hedging_sidecar(fleet) as harness:
-        client = await harness.client()
-        client.send(upload(framing))
-        assert (await client.answer()).status == 200
-        assert fleet.begun == 1 and fleet.uploads == [digest(UPLOAD)]
-
-
-@async_test
-async def test_a_body_that_is_half_received_is_not_hedged() -> None:
-    fleet = Fleet(2 * HANGS_S)
-    async with hedging_sidecar(fleet) as harness:
-        client = await harness.client()
-        raw = upload("length")
-        client.send(raw[:-1_000])
-        await asyncio.sleep(HANGS_S)
-        client.send(raw[-1_000:])
-        assert (await client.answer()).status == 200
-        assert fleet.begun == 1 and fleet.uploads == [digest(UPLOAD)]
-
-
-@async_test
-async def test_a_body_streamed_for_lack_of_memory_is_not_hedged() -> None:
-    fleet = Fleet(HANGS_S)
-    body = content(20 << 10)
-    async with hedging_sidecar(fleet) as harness:
-        harness.sidecar.memory.level = PressureLevel.PASS_ON
+    servers = Uploads(2 * HANGS_S if half else HANGS_S)
+    async with hedging_sidecar(servers) as harness:
+        harness.sidecar.memory.level = level
         client = await harness.client()
-        client.send(upload("chunked", body))
+        raw = upload(framing, body)
+        cut = len(raw) - 1_000 if half else len(raw)
+        client.send(raw[:cut])
+        if half:
+            await asyncio.sleep(HANGS_S)
+            client.send(raw[cut:])
         assert (await client.answer()).status == 200
-        assert fleet.begun == 1 and fleet.uploads == [digest(body)]
+        assert servers.begun == 1 and servers.run == [digest(body)]
 
 
 @async_test
 async def test_a_buffered_body_is_hedged_whole() -> None:
     # What can be sent twice still is: the second copy is answered before the silent server could.
-    fleet = Fleet(3 * HANGS_S)
+    servers = Uploads(3 * HANGS_S)
     body = content(MAX_BUFFERED_BYTES)
-    async with hedging_sidecar(fleet) as harness:
+    async with hedging_sidecar(servers) as harness:
         client = await harness.client()
         client.send(upload("length", body))
         assert (await client.answer()).status == 200
-        assert fleet.begun >= 2 and set(fleet.uploads) == {digest(body)}
+        assert servers.begun >= 2 and set(servers.run) == {digest(body)}
 
 
 @async_test
 async def test_at_most_two_attempts_are_in_flight() -> None:
     # The page on the wire: with second copies "a request may have two attempts outstanding concurrently".
-    fleet = Fleet(3 * HANGS_S)
-    async with hedging_sidecar(fleet) as harness:
+    servers = Uploads(3 * HANGS_S)
+    async with hedging_sidecar(servers) as harness:
         client = await harness.client()
         client.send(upload("length", content(MAX_BUFFERED_BYTES)))
         assert (await client.answer()).status == 200
-        assert fleet.begun == 2
+        assert servers.begun == 2
 
 
 @async_test
 async def test_a_streamed_body_of_which_nothing_was_sent_is_retried() -> None:
-    fleet = Fleet(0.0)
+    servers = Uploads(0.0)
     with socket.socket() as not_listening:  # a port that refuses
         not_listening.bind((HOST, 0))
         address = f"{HOST}:{not_listening.getsockname()[1]}"
         refusing = [list_entry(f"r-{number}", address) for number in range(3)]
-        server = await CallbackServer(fleet.server(0)).start()
+        server = await CallbackServer(servers.server(0)).start()
         async with run_harness(extra_entries=[server.entry, *refusing], bounds=HEDGING) as harness:
             for number in range(1, 5):
                 client = await harness.client()
                 client.send(upload("length"))
                 assert (await client.answer()).status == 200
-                assert fleet.uploads == [digest(UPLOAD)] * number
+                assert servers.run == [digest(UPLOAD)] * number
         server.stop()
 
 
@@ -279,23 +262,33 @@
 
 
 @pytest.mark.parametrize("may_cancel", [True, False])
-@pytest.mark.parametrize("lose", [answer_whole, answer_small, answer_error, reject, reset])
+@pytest.mark.parametrize(
+    ("loses", "hangs_s"),
+    [
+        (LARGE_HEAD + LARGE_ANSWER, HANGS_S),
+        (LARGE_HEAD + LARGE_ANSWER, 2.5 * HANGS_S),  # when the other answer is whole
+        (answer_of(b"other"), HANGS_S),
+        (ERROR, HANGS_S),
+        (REJECTION, HANGS_S),
+        (None, HANGS_S),
+    ],
+    ids=["large", "large and late", "small", "error", "rejection", "reset"],
+)
 @async_test
 async def test_an_answer_that_is_passed_on_is_not_touched_by_the_other_attempt(
-    lose: Lose, may_cancel: bool
+    loses: bytes | None, hangs_s: float, may_cancel: bool
 ) -> None:
     # Guards against an answer that is written into the middle of another, or ends it.
-    servers = LargeAnswers(lose)
+    servers = LargeAnswers(loses, hangs_s)
     async with hedging_sidecar(servers, may_cancel=may_cancel) as harness:
         assert await ask_for_large(harness) == LARGE_ANSWER
-        assert servers.asked >= 2
+        assert servers.begun >= 2
         assert not any("malformed" in line for line in harness.log)
 
 
 @pytest.mark.parametrize("order", ["before", "after"])
-@pytest.mark.parametrize("lose", [answer_whole, answer_error, reset])
+@pytest.mark.parametrize("loses", [LARGE_HEAD + LARGE_ANSWER, ERROR, None], ids=["large", "error", "reset"])
 @async_test
-async def test_of_two_answers_that_begin_at_once_one_is_passed_on(lose: Lose, order: str) -> None:
-    servers = LargeAnswers(lose, loses_with_the_start=order)
-    async with hedging_sidecar(servers) as harness:
+async def test_of_two_answers_that_begin_at_once_one_is_passed_on(loses: bytes | None, order: str) -> None:
+    async with hedging_sidecar(LargeAnswers(loses, at_start=order)) as harness:
         assert await ask_for_large(harness) == LARGE_ANSWER
--- a/tests/test_mysql_hot_restart.py
+++ b/tests/test_mysql_hot_restart.py
@@ -34,21 +34,18 @@
     return replace(config, listen=(HOST, http_port))
 
 
-class Holder:
-    """Another program that listens at an address and shares it with nobody."""
+def another_program() -> socket.socket:
+    """Listen at a free port, shared with nobody."""
+    return socket.create_server((HOST, 0))
 
-    def __init__(self) -> None:
-        self._socket = socket.create_server((HOST, 0))
-        self.port = int(self._socket.getsockname()[1])
 
-    def close(self) -> None:
-        self._socket.close()
+def port_of(listener: socket.socket) -> int:
+    return int(listener.getsockname()[1])
 
 
 def free_port() -> int:
-    holder = Holder()
-    holder.close()
-    return holder.port
+    with another_program() as listener:
+        return port_of(listener)
 
 
 def accepts(port: int) -> bool:
@@ -91,23 +88,22 @@
         port = config.mysql.listen[1] if config.mysql is not None else 0
         async with sidecar_of(config, []) as old, sidecar_of(config, []) as new:
             await old.start()
-            client = await connect(port)
-            await execute(client, "BEGIN")
-            await execute(client, "INSERT INTO lodged VALUES ('before', 'old')")
+            clients = [await connect(port)]
             await soon(new.start())
             assert new.unready_reason() is None
             assert old.mysql is not None and new.mysql is not None
             # Both serve: the kernel spreads clients over them.
-            clients = [await connect(port) for _ in range(16)]
-            assert len(new.mysql.listener.clients) > 0
-            for each in clients:
-                assert await execute(each, COUNT) == [(len(ROWS),)]
-                each.close()
+            clients += [await connect(port) for _ in range(16)]
+            assert len(old.mysql.listener.clients) > 0 and len(new.mysql.listener.clients) > 0
+            for client in clients:
+                await execute(client, "BEGIN")
+                assert await execute(client, COUNT) == [(len(ROWS),)]
+            assert await execute(clients[0], "INSERT INTO lodged VALUES ('before', 'old')") == 1
             stopping = asyncio.create_task(old.stop())
             await until(lambda: old.mysql is not None and old.mysql.listener.is_draining)
-            # The transaction ends at the old process, new clients are served by the new one.
+            # Transactions end where they began, new clients are served by the new process.
             assert await execute(await connect(port), COUNT) == [(len(ROWS),)]
-            assert await execute(client, "COMMIT") == 0
+            assert [await execute(client, "COMMIT") for client in clients] == [0] * len(clients)
             await soon(stopping)
             assert env.count_lodged("before") == 1
             assert await execute(await connect(port), COUNT) == [(len(ROWS),)]
@@ -115,6 +111,18 @@
     with_servers(work)
 
 
+@asynccontextmanager
+async def held_address(
+    held: str, folder: Path, env: MysqlEnvironment, log: list[str]
+) -> AsyncIterator[tuple[Sidecar, socket.socket, int]]:
+    """A sidecar, another program at its address of the key `held`, and the port of its other address."""
+    other = free_port()
+    with another_program() as listener:
+        ports = (port_of(listener), other) if held == "mysql" else (other, port_of(listener))
+        async with sidecar_of(make_config(folder, env.roster.address, *ports), log) as sidecar:
+            yield sidecar, listener, other
+
+
 @pytest.mark.parametrize("held", ["mysql", "listen"])
 def test_an_address_of_another_program_ends_a_start_that_has_taken_no_client(
     held: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
@@ -123,16 +131,13 @@
     monkeypatch.setattr("micadeck.operations.startup_retry.MAX_ADDRESS_IN_USE_WAIT_S", HELD_S)
 
     async def work(env: MysqlEnvironment) -> None:
-        holder, other = Holder(), free_port()
-        ports = (holder.port, other) if held == "mysql" else (other, holder.port)
-        async with sidecar_of(make_config(tmp_path, env.roster.address, *ports), []) as sidecar:
+        async with held_address(held, tmp_path, env, []) as (sidecar, listener, other):
             starting = asyncio.create_task(sidecar.start())
             while not starting.done():
                 assert not accepts(other)
                 await asyncio.sleep(0.02)
-            with pytest.raises(ListenError, match=rf"^{held}: {HOST}:{holder.port}: .*in use"):
+            with pytest.raises(ListenError, match=rf"^{held}: {HOST}:{port_of(listener)}: .*in use"):
                 await starting
-        holder.close()
 
     with_servers(work)
 
@@ -141,24 +146,22 @@
 def test_a_start_waits_until_another_program_frees_the_address(held: str, tmp_path: Path) -> None:
     # Guards against a listener of MySQL that ends the start where HTTP's waits.
     async def work(env: MysqlEnvironment) -> None:
-        holder, other = Holder(), free_port()
-        ports = (holder.port, other) if held == "mysql" else (other, holder.port)
         log: list[str] = []
-        async with sidecar_of(make_config(tmp_path, env.roster.address, *ports), log) as sidecar:
-            asyncio.get_running_loop().call_later(HELD_S, holder.close)
+        async with held_address(held, tmp_path, env, log) as (sidecar, listener, _):
+            address = f"{held}: {HOST}:{port_of(listener)}"
+            asyncio.get_running_loop().call_later(HELD_S, listener.close)
             await soon(sidecar.start())
-            assert await execute(await connect(ports[0]), COUNT) == [(len(ROWS),)]
+            assert sidecar.mysql is not None
+            assert await execute(await connect(sidecar.mysql.port), COUNT) == [(len(ROWS),)]
             waits = [line for line in log if line.startswith("startup: can't listen yet, retrying")]
-            assert len(waits) == 1 and f"{held}: {HOST}:{holder.port}" in waits[0]
+            assert len(waits) == 1 and address in waits[0]
 
     with_servers(work)
 
 
 def test_a_start_that_waits_for_mysqls_address_ends_at_a_signal(tmp_path: Path) -> None:
     async def work(env: MysqlEnvironment) -> None:
-        holder = Holder()
-        config = make_config(tmp_path, env.roster.address, holder.port)
-        async with sidecar_of(config, []) as sidecar:
+        async with held_address("mysql", tmp_path, env, []) as (sidecar, _, _):
             is_ending = asyncio.Event()
             starting = asyncio.create_task(sidecar.start(is_ending.is_set))
             await asyncio.sleep(0.1)
@@ -166,7 +169,6 @@
             is_ending.set()
             with pytest.raises(StartCancelledError):
                 await soon(starting)
-        holder.close()
 
     with_servers(work)
 
