Answer HTTP requests if SIGTERM comes while a start waits for MySQL's servers

Callers saw connections closed with no answer to requests that a starting process had accepted.

Cause: behind the HTTP listener the start waits up to 2 s for the list of MySQL's servers. A signal meanwhile raised StartCancelledError, which stands for a start that has accepted nothing, so the daemon closed everything at once.

Change: a signal ends that wait, MySQL does not listen, and the process stops as a started one, with its graceful shutdown.

--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -5,7 +5,7 @@
 import asyncio
 import gc
 from collections.abc import Callable
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
 from typing import TYPE_CHECKING, TypeVar
 
 from micadeck.config import Config
@@ -112,7 +112,7 @@
 
         Raises:
             ListenError: It can't listen on an address, and a retry won't help.
-            StartCancelledError: The process is to end.
+            StartCancelledError: The process is to end, and no client was accepted.
         """
         await self._runtime.start()
         if self.mysql is not None:
@@ -129,22 +129,24 @@
                     reservations.callback(reservation.close)
             await self._bind("listen", config.listen, self.listener.listen, is_ending)
             if self.mysql is not None:
-                await self._wait_for_mysql_list(self.mysql, is_ending)
-                await self._bind("mysql", self.mysql.address, self.mysql.listen, is_ending)
+                await self._listen_for_mysql(self.mysql, is_ending)
         self._started_at = self._network.time()
         self.lifecycle.mark_started(self._started_at)
         self._apply_phase()
 
-    async def _wait_for_mysql_list(self, mysql: MysqlService, is_ending: Callable[[], bool]) -> None:
-        """Wait for the first list of MySQL's servers, at most `_LIST_TIMEOUT_S`.
+    async def _listen_for_mysql(self, mysql: MysqlService, is_ending: Callable[[], bool]) -> None:
+        """Accept MySQL clients once the servers are known, or after `_LIST_TIMEOUT_S`.
 
-        Clients that connect before would get errors that another process of this sidecar spares them.
+        Clients that connect before would get errors that another process of this sidecar spares them.  If the
+        process is to end meanwhile, this returns: HTTP clients are accepted already, so it ends by `stop`.
         """
         latest = self._network.time() + _LIST_TIMEOUT_S
-        while not mysql.has_list and self._network.time() < latest:
+        while not mysql.has_list and self._network.time() < latest and not is_ending():
             await self._network.sleep(_LIST_POLL_S)
-            if is_ending():
-                raise StartCancelledError
+        if is_ending():
+            return
+        with suppress(StartCancelledError):
+            await self._bind("mysql", mysql.address, mysql.listen, is_ending)
 
     async def _bind(
         self, key: str, address: Address, bind: Callable[[Address], T], is_ending: Callable[[], bool]
--- a/tests/test_mysql_hot_restart.py
+++ b/tests/test_mysql_hot_restart.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -13,9 +14,22 @@
 import aiomysql
 import msgspec
 import pytest
-from loopback import HOST, run_async, soon, until
+from loopback import (
+    HOST,
+    OK,
+    Client,
+    ReceivedRequest,
+    ScriptedDiscovery,
+    ScriptedServer,
+    list_entry,
+    request,
+    run_async,
+    soon,
+    until,
+)
 from mysql_stage import PASSWORD, ROWS, MysqlEnvironment, config_document, execute, mysql_environment
 from test_mysql_program import _daemon
+from test_program import GOOD, start_process
 
 from micadeck.config import Config, ConfigError, parse
 from micadeck.network import LoopNetwork
@@ -25,6 +39,7 @@
 COUNT = "SELECT COUNT(*) FROM tariff"
 HELD_S = 0.4  # for which another program holds an address
 LIST_LATE_S = 0.5  # after the start
+ANSWER_LATE_S = 0.5
 
 
 def make_config(folder: Path, roster: str, mysql_port: int = 0, http_port: int = 0) -> Config:
@@ -173,6 +188,48 @@
     with_servers(work)
 
 
+def test_http_requests_are_answered_if_sigterm_comes_before_mysqls_servers_are_known(tmp_path: Path) -> None:
+    # Guards against a start that is cancelled once it has accepted HTTP requests, which it then drops.
+    async def answer_late(_: ReceivedRequest) -> bytes:
+        await asyncio.sleep(ANSWER_LATE_S)
+        return OK
+
+    async def work() -> None:
+        server = await ScriptedServer(answer_late).start()
+        discovery = ScriptedDiscovery()
+        discovery.servers = [list_entry("s-1", server.address)]
+        await discovery.start()
+        port = free_port()
+        mysql, config = tmp_path / "mysql.toml", tmp_path / "config.json"
+        with another_program() as silent:  # discovery for MySQL: it accepts calls and answers none
+            mysql.write_bytes(msgspec.toml.encode(config_document(f"{HOST}:{port_of(silent)}")))
+            document = {
+                "listen": f"{HOST}:{port}",
+                "discovery": discovery.address,
+                "known": {"version": 1, "full": True, "servers": discovery.servers},
+                "mysql": str(mysql),
+            }
+            config.write_text(json.dumps({**GOOD, **document}))
+            process = await start_process(config)
+            try:
+                await until(lambda: accepts(port))
+                client = Client(*await asyncio.open_connection(HOST, port))
+                client.send(request("lodge"))
+                await until(lambda: len(server.received) == 1)
+                process.terminate()
+                assert (await soon(client.answer())).status == 200
+                client.writer.close()
+                assert await soon(process.wait()) == 0
+            finally:
+                if process.returncode is None:
+                    process.kill()
+                    await process.wait()
+        server.stop()
+        discovery.stop()
+
+    run_async(work)
+
+
 def test_a_new_process_accepts_mysql_clients_once_it_knows_the_servers(tmp_path: Path) -> None:
     # Guards against clients that a new process takes from the running one before it can serve them.
     async def work(env: MysqlEnvironment) -> None:
