Soak: replace the clock's file and configurations in one step

Cause: the soak's own. The offset of the sidecars' wall clock was rewritten in place, so a process that started in that moment read an empty file.

Change: these files are replaced in one step, the configurations too, whose writes could end a start with code 2. The report prints the last line of a failed process.

--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -71,6 +71,13 @@
     }
 
 
+def replace_text(path: Path, text: str) -> None:
+    """Replace a file in one step: a concurrent reader gets the old or the new text, whole."""
+    new = path.with_suffix(".new")
+    new.write_text(text)
+    new.replace(path)
+
+
 def free_port() -> int:
     with socket.socket() as found:
         found.bind((HOST, 0))
@@ -180,7 +187,7 @@
     async def _start_sidecar(self, sidecar: Sidecar) -> None:
         """Start a process and wait until it is ready."""
         path = self._config_path(sidecar)
-        path.write_text(self._config(sidecar, self._rosters[0]))
+        replace_text(path, self._config(sidecar, self._rosters[0]))
         with (self.folder / f"n{sidecar.number}.log").open("ab") as log:
             sidecar.process = await asyncio.create_subprocess_exec(
                 "sh",
@@ -281,7 +288,7 @@
                 for roster in self._rosters:
                     roster.mute_watches()
             case Fault.CLOCK_STEP:
-                (self.folder / "clock").write_text(str(event.figure))
+                replace_text(self.folder / "clock", str(event.figure))
             case _:
                 pass  # servers and clients inject these themselves
 
@@ -302,13 +309,18 @@
         for number in range(signals):
             text = self._config(sidecar, self._rosters[number % 2])
             is_cut = not restarts and self._rng.random() < 0.2
-            path.write_text(text[: len(text) // 2] if is_cut else text)
+            replace_text(path, text[: len(text) // 2] if is_cut else text)
             self._signal(sidecar, signal.SIGHUP)
             await asyncio.sleep(self._rng.uniform(0.0, 0.2))
-        path.write_text(self._config(sidecar, self._rosters[signals % 2]))
+        replace_text(path, self._config(sidecar, self._rosters[signals % 2]))
         self._signal(sidecar, signal.SIGHUP)
 
 
+def _names_a_failed_end(line: str) -> bool:
+    """Whether a line of a sidecar's log belongs to an end that nobody asked for."""
+    return "Traceback" in line or (line.startswith("ended: code") and not line.startswith("ended: code 0"))
+
+
 @dataclass(slots=True)
 class RunResult:
     """A completed run."""
@@ -331,7 +343,7 @@
         ]
         for log in sorted(folder.glob("n*.log")):
             for line in log.read_text(errors="replace").splitlines():
-                if "internal error" in line or "Traceback" in line:
+                if "internal error" in line or _names_a_failed_end(line):
                     details.append(f"  {log.name}: {line}")
                 if "invariant violated" in line:
                     details.append(f"  {log.name}: {line}")
