Hedge a silent attempt once, and keep two attempts in flight at most

Cause: each of an attempt's timers (overdue, late, silent) that found its server ejected hedged the request anew, and the gate checked a flag, not the number in flight.

Change: Limits.max_attempts_in_flight, which the gate and the engine's record of violations count against; a silent attempt is hedged once, and one that is silent while two are in flight is cancelled where that is allowed.

--- a/micadeck/engine/engine.py
+++ b/micadeck/engine/engine.py
@@ -356,7 +356,7 @@
     def _send(self, action: Send) -> None:
         opened = self._open[action.request]
         sent_at = self._network.now()
-        if opened.in_flight and not self._settings.limits.allow_hedging:
+        if opened.in_flight >= self._settings.limits.max_attempts_in_flight:
             self.invariants.record(
                 InvariantViolation.TWO_ATTEMPTS, opened.request.request_id, f"{opened.in_flight} in flight"
             )
--- a/micadeck/policy/balancer.py
+++ b/micadeck/policy/balancer.py
@@ -192,13 +192,18 @@
     def _answer_by(self, remaining_us: int) -> int:
         return self._context.now + remaining_us - ANSWER_MARGIN_TICKS * self._context.settings.tick_us
 
-    def _dispatch(self, request: OpenRequest) -> None:
-        """Send the request to the best endpoint, or answer it if there is none to try."""
+    def _dispatch(self, request: OpenRequest) -> bool:
+        """Send the request to the best endpoint, or answer it if there is none to try.
+
+        Returns:
+            Whether it was sent.
+        """
         endpoint = self._selector.choose(request)
         if endpoint is not None and self._send(request, endpoint):
-            return
+            return True
         if not request.has_pending_attempt():
             self._finish(request)
+        return False
 
     def _request_completed(self, event: RequestCompleted) -> None:
         """Restart the request's times at its last byte: no server can have begun it earlier."""
@@ -266,8 +271,8 @@
             return False  # rule 1: no attempt after the final answer or its deadline
         if not has_attempts_left(request, settings.limits):
             return False
-        if not settings.limits.allow_hedging and request.has_pending_attempt():
-            return False  # rule 2: no two attempts at a time
+        if request.pending_attempts() >= settings.limits.max_attempts_in_flight:
+            return False  # rule 2: no two attempts at a time, or three where hedging is allowed
         if not may_run_again(request, now, settings) or not is_in_deduplication_scope(request, endpoint):
             return False  # rule 2: no second effect
         is_ready = endpoint.state is ServerState.READY
@@ -345,16 +350,16 @@
             self._concurrency.record_overload()  # the servers are full, not just this one
 
     def _replace_silent_attempt(self, request: OpenRequest, attempt: Attempt) -> None:
-        """Hedge the request, or cancel its attempt so that it is retried, where permitted."""
+        """Hedge the request once, or cancel its attempt so that it is retried, where permitted."""
         context = self._context
         limits = context.settings.limits
-        if not may_run_again(request, context.now, context.settings):
+        if attempt.is_hedged or not may_run_again(request, context.now, context.settings):
             return
         if not has_attempts_left(request, limits):
             return
-        if limits.allow_hedging:
+        if request.pending_attempts() < limits.max_attempts_in_flight:
             if self._retry_budget.withdraw():
-                self._dispatch(request)
+                attempt.is_hedged = self._dispatch(request)
         elif limits.may_cancel and self._retry_budget.has_retry():
             # The retry follows when the cancelled attempt ends, and uses the budget only then.
             self._outliers.prolong_cancelled_probation(attempt)
--- a/micadeck/policy/open_requests.py
+++ b/micadeck/policy/open_requests.py
@@ -26,6 +26,7 @@
     is_silence_recorded: bool = False  # the stale connection detector has counted its silence
     opens_connection: bool = False  # it is the first on its connection and includes the handshake
     is_overload_recorded: bool = False  # the concurrency limit has counted its lateness
+    is_hedged: bool = False  # another attempt was sent while this one was silent
 
     @property
     def suspects_stale_connection(self) -> bool:
@@ -54,3 +55,7 @@
     def has_pending_attempt(self) -> bool:
         """Return whether an attempt has not ended yet."""
         return any(attempt.is_pending for attempt in self.attempts)
+
+    def pending_attempts(self) -> int:
+        """Return how many attempts have not ended yet."""
+        return sum(attempt.is_pending for attempt in self.attempts)
--- a/micadeck/policy/settings.py
+++ b/micadeck/policy/settings.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum, unique
-from typing import Any
+from typing import Any, Final
 
 from micadeck.policy.outcomes import Outcome
 from micadeck.policy.settings_reader import MappingReader, SettingsError
@@ -101,6 +101,9 @@
     quota_per_s: float = 0.0
 
 
+_HEDGED_ATTEMPTS: Final = 2  # in flight at once, where hedging is allowed
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     """What the deployment permits."""
@@ -119,6 +122,11 @@
     cpu_us_per_s: int | None = None  # of CPU, for the whole instance
     cpu_us_per_request: float = 0.0  # of CPU, for a request with its outcomes, on average; 0: no limit
 
+    @property
+    def max_attempts_in_flight(self) -> int:
+        """How many attempts of a request may be in flight at once."""
+        return _HEDGED_ATTEMPTS if self.allow_hedging else 1
+
 
 @dataclass(frozen=True, slots=True)
 class Rules:
--- a/tests/policy_driver.py
+++ b/tests/policy_driver.py
@@ -87,6 +87,7 @@
         self.events: list[tuple[int, Any]] = []
         self.counts: Counter[str] = Counter()
         self.checkpoints: list[str] = []
+        self.excess_attempts: list[tuple[int, int]] = []  # requests with too many in flight
         self._hash = hashlib.blake2b(digest_size=8)
         self._now = START
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
@@ -224,6 +225,9 @@
         index = len(request.attempts)
         attempt = _Attempt(server, self._now, until)
         request.attempts.append(attempt)
+        in_flight = sum(each.is_pending for each in request.attempts)
+        if in_flight > (2 if self._settings_versions[self._settings_version].limits.allow_hedging else 1):
+            self.excess_attempts.append((number, in_flight))
         self._busy[server] += 1
         self._expire_at(number, index, until)
         outcome, delay = self._draw_outcome(server)
--- a/tests/test_any_sequence.py
+++ b/tests/test_any_sequence.py
@@ -86,8 +86,8 @@
         # A refused connection carried nothing, so it doesn't count as an attempt.
         refused_dials = sum(each["outcome"] is Outcome.CONNECTION_REFUSED for each in earlier)
         assert len(earlier) - refused_dials < self.settings.limits.max_attempts, "more attempts than allowed"
-        if not self.settings.limits.allow_hedging:
-            assert not any(each["pending"] for each in earlier), "two copies in flight at once"
+        may_be_pending = 1 if self.settings.limits.allow_hedging else 0
+        assert sum(each["pending"] for each in earlier) <= may_be_pending, "too many copies in flight at once"
         may_have_run = [each for each in earlier if each["pending"] or each["outcome"] not in self.never_ran]
         if may_have_run and kind.idempotency is Idempotency.NON_IDEMPOTENT:
             raise AssertionError("an unsafe request was sent again")
