Build: compiled decisions round on arm64 as the interpreter does

Cause: the compiler joins a multiplication and an addition into one instruction with one rounding where the processor has it, as arm64 does. Played beside interpreted decisions, compiled ones set a timer a microsecond later, and the replies part there.

Change: the build passes -ffp-contract=off; the flags are part of the digest that names the folder of the build, so modules built before are not loaded.

The new test fails without the flag and passes with it; on x86-64 it can't fail.

--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import os
 import shutil
 import subprocess
 import sys
 import tempfile
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
@@ -32,7 +34,7 @@
             shutil.copy(compiled.ROOT / f"{name}.py", package)
         _run(sys.executable, "-m", "pip", "-q", "--disable-pip-version-check", "install", "-r", _REQUIREMENTS)
         sources = [str(compiled.PACKAGE_PATH / f"{name}.py") for name in compiled.MODULES]
-        _run(sys.executable, "-m", "mypyc", *sources, cwd=work)
+        run_mypyc(sources, work)
         for path in (work / "build", work / ".mypy_cache", *package.parent.rglob("*.py")):
             shutil.rmtree(path) if path.is_dir() else path.unlink()
         _run(
@@ -47,9 +49,22 @@
         shutil.copytree(work, target)
 
 
-def _run(*command: object, cwd: Path | None = None) -> None:
-    arguments = [str(argument) for argument in command]
-    subprocess.run(arguments, cwd=cwd, check=True, capture_output=True, text=True, timeout=_COMMAND_TIMEOUT_S)
+def run_mypyc(sources: Sequence[str], cwd: Path) -> None:
+    """Compile modules in place; raise OSError or subprocess.SubprocessError on failure."""
+    flags = f"{os.environ.get('CFLAGS', '')} {compiled.COMPILER_FLAGS}".strip()
+    _run(sys.executable, "-m", "mypyc", *sources, cwd=cwd, environment={"CFLAGS": flags})
+
+
+def _run(*command: object, cwd: Path | None = None, environment: Mapping[str, str] | None = None) -> None:
+    subprocess.run(
+        [str(argument) for argument in command],
+        cwd=cwd,
+        env={**os.environ, **(environment or {})},
+        check=True,
+        capture_output=True,
+        text=True,
+        timeout=_COMMAND_TIMEOUT_S,
+    )
 
 
 def main() -> None:
--- a/micadeck/policy/compiled.py
+++ b/micadeck/policy/compiled.py
@@ -1,7 +1,8 @@
 """Finds the compiled modules of the decisions, if they were built from exactly these sources.
 
-`deploy/compile.py` puts them into a folder named by a digest of the sources and of the interpreter's ABI, so
-modules of other sources are never loaded.  Without them the decisions run interpreted, and slower.
+`deploy/compile.py` puts them into a folder named by a digest of the sources, the interpreter's ABI and the
+compiler's flags, so modules of other sources are never loaded.  Without them the decisions run interpreted,
+and slower.
 """
 
 from __future__ import annotations
@@ -43,6 +44,8 @@
 ROOT = Path(__file__).parent
 PACKAGE_PATH = Path("micadeck", "policy")
 """The package of the compiled modules, below the folder of one build."""
+COMPILER_FLAGS = "-ffp-contract=off"
+"""Without fused multiply-adds, which round otherwise than the interpreter does."""
 
 _INTERPRETED_VARIABLES = ("MICADECK_INTERPRETED", "MAGPIEMUX_INTERPRETED")  # the second is the former name
 
@@ -54,6 +57,7 @@
         OSError: The sources cannot be read.
     """
     digest = hashlib.blake2b(EXTENSION_SUFFIXES[0].encode(), digest_size=12)  # names the interpreter's ABI
+    digest.update(COMPILER_FLAGS.encode())
     for name in MODULES:
         digest.update((ROOT / f"{name}.py").read_bytes())
     return ROOT.parent.parent / ".compiled" / digest.hexdigest()
--- a/tests/test_compiled.py
+++ b/tests/test_compiled.py
@@ -77,3 +77,35 @@
     assert process.returncode == 0 and "the decisions run interpreted: " in process.stderr
     assert run_probe(tree, PROBE) == "False False"
     assert not any((tree / ".compiled").iterdir())
+
+
+SUMS = """
+def sums(numbers: list[float]) -> list[float]:
+    return [each * 1.1 + each for each in numbers]
+"""
+COMPARE_SUMS = """
+import importlib.util, pathlib, random, sys
+sys.path.insert(0, "deploy")
+import compile as build
+folder = pathlib.Path("sums")
+folder.mkdir()
+(folder / "sums.py").write_text(sys.argv[1])
+build.run_mypyc(["sums.py"], folder)
+sys.path.insert(0, str(folder.resolve()))
+import sums
+assert sums.__file__.endswith(".so")
+source = {}
+exec(sys.argv[1], source)
+generator = random.Random(7)
+numbers = [generator.random() for _ in range(1000)]
+print(sums.sums(numbers) == source["sums"](numbers))
+"""
+
+
+@pytest.mark.skipif(shutil.which("cc") is None, reason="without a C compiler the policy runs interpreted")
+def test_compiled_arithmetic_rounds_as_the_interpreter_does(tree: Path) -> None:
+    # Guards against fused multiply-adds, which compilers use on arm64: timers were due a microsecond later.
+    process = subprocess.run(
+        [sys.executable, "-c", COMPARE_SUMS, SUMS], cwd=tree, capture_output=True, text=True, check=False
+    )
+    assert process.stdout.strip() == "True", process.stderr
