Dial again after a failure for lack of a resource of this machine

Callers got 503 with Retry-After from idle servers while a system call of dials fails now and then.

Cause: such a dial ends its attempt as not sent, which counts as one, and the next attempt follows at once, so three within a millisecond end the request. Shown by a trace of the engine's events: three attempts of one request end as not sent after 0.6, 0.3 and 2.1 ms, then the refusal.

Change: dial_with_retries repeats such a dial after 1, 2, 4 and 8 ms while it is wanted; HTTP's and MySQL's pools use it. The list of errors stood twice.

--- a/micadeck/http/upstream.py
+++ b/micadeck/http/upstream.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -16,14 +15,13 @@
 from micadeck.http.request_validation import ValidatedRequest
 from micadeck.http.reuse_delay import ReuseDelay
 from micadeck.network import Address, Network, Timer
+from micadeck.network.dialing import dial_with_retries, is_local_error
 from micadeck.policy.events import ServerState
 from micadeck.policy.outcomes import Outcome
 from micadeck.policy.settings import ReportSource, Settings
 
 _IDLE_MARGIN = 0.1  # share of the idle limit; this close to it, the server may have closed the connection
 _MAX_REPORT_VALUE = 1e9  # larger values in a load report are ignored as implausible
-# Errors of a dial that mean that this machine, not the server, ran out of resources.
-_LOCAL_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
 
 class Exchange:
@@ -346,16 +344,18 @@
         connection: ClientConnection | None = None
         try:
             async with self._network.timeout(self._dial_timeout_s):
-                connection = await self._network.dial(
+                connection = await dial_with_retries(
+                    self._network,
                     lambda: ClientConnection(
                         self._network, MAX_BODY_BYTES, self._release, self._closed, budget=self._budget
                     ),
                     server.address,
+                    lambda: not exchange.ended and not server.is_leaving,
                 )
         except (OSError, TimeoutError) as error:
             if isinstance(error, ConnectionRefusedError):
                 outcome = Outcome.CONNECTION_REFUSED
-            elif isinstance(error, OSError) and error.errno in _LOCAL_ERRORS:
+            elif is_local_error(error):
                 outcome = Outcome.NOT_SENT
         finally:
             self._dialling -= 1
--- a/micadeck/mysql/server_connection.py
+++ b/micadeck/mysql/server_connection.py
@@ -20,6 +20,7 @@
 from micadeck.mysql.protocol.wire import ProtocolError
 from micadeck.mysql.session import ConnectionState
 from micadeck.network import Address, Network, Stream
+from micadeck.network.dialing import dial_with_retries
 
 _REQUESTED = (
     Capability.LONG_PASSWORD
@@ -114,7 +115,7 @@
         make: Callable[[], ServerConnection], network: Network, address: Address
     ) -> ServerConnection:
         """Dial and log in; raise OSError or LoginFailed.  The caller sets a timeout."""
-        connection = await network.dial(make, address)
+        connection = await dial_with_retries(network, make, address)
         try:
             await connection._logged_in
         except BaseException:
--- a/micadeck/mysql/transport.py
+++ b/micadeck/mysql/transport.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -23,12 +22,12 @@
 from micadeck.mysql.session import Handle, Session, must_reset, state_commands
 from micadeck.mysql.statement import Statement
 from micadeck.network import Address, Network, Timer
+from micadeck.network.dialing import is_local_error
 from micadeck.network.scheduling_delay import wait_excluding_lag
 from micadeck.policy.events import ServerState
 from micadeck.policy.outcomes import Outcome
 from micadeck.policy.settings import Settings
 
-_LOCAL_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 _PING = bytes((Command.PING,))
 _RESET = bytes((Command.RESET_CONNECTION,))
 _PART_OVERHEAD = 64  # bytes that a buffered part takes in addition to its payload
@@ -389,7 +388,7 @@
         except (OSError, TimeoutError) as error:
             if isinstance(error, ConnectionRefusedError):
                 outcome = Outcome.CONNECTION_REFUSED
-            elif isinstance(error, OSError) and error.errno in _LOCAL_ERRNOS:
+            elif is_local_error(error):
                 outcome = Outcome.NOT_SENT
         except asyncio.CancelledError:
             self.pool.end_dial(name)
--- a/tests/test_failing_streams.py
+++ b/tests/test_failing_streams.py
@@ -5,12 +5,18 @@
 import asyncio
 import errno
 import time
+from collections.abc import Callable
+from typing import Any
 
 import pytest
-from loopback import OK, async_test, request, run_harness, soon, until
+from loopback import OK, Harness, async_test, request, run_harness, soon, until
+from mysql_stage import ROWS, execute, mysql_environment
 
 from micadeck.http import listener, upstream
-from micadeck.network import stream_socket
+from micadeck.mysql.server_connection import ServerConnection
+from micadeck.network import Address, LoopNetwork, parse_address, stream_socket
+
+LOOP_DIAL = LoopNetwork.dial
 
 
 class Failing:
@@ -41,6 +47,65 @@
         assert failing.times == 0
 
 
+def fail_dials_to(harness: Harness, failing: Failing, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Make dials to the first server fail; others, as to discovery, do not."""
+
+    async def dial(self: LoopNetwork, make: Callable[[], Any], address: Address) -> Any:
+        if address == parse_address(harness.servers[0].address):
+            failing()
+        return await LOOP_DIAL(self, make, address)
+
+    monkeypatch.setattr(LoopNetwork, "dial", dial)
+
+
+@pytest.mark.parametrize("times", [3, 4])
+@async_test
+async def test_a_request_outlasts_dials_that_fail_for_lack_of_a_resource(
+    times: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a 503 when as many dials as a request may have attempts fail within a millisecond.
+    failing = Failing(times)
+    async with run_harness(OK, bounds={"sendCap": 1}) as harness:
+        fail_dials_to(harness, failing, monkeypatch)
+        assert (await harness.exchange("lodge")).status == 200
+        assert failing.times == 0 and len(harness.servers[0].received) == 1
+
+
+@async_test
+async def test_a_statement_outlasts_dials_that_fail_for_lack_of_a_resource(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    failing, real = Failing(4), ServerConnection.open
+
+    async def dial(network: LoopNetwork, make: Callable[[], Any], address: Address) -> Any:
+        failing()
+        return await LOOP_DIAL(network, make, address)
+
+    async def open_connection(*arguments: Any) -> ServerConnection:
+        monkeypatch.setattr(LoopNetwork, "dial", dial)  # not for discovery
+        try:
+            return await real(*arguments)
+        finally:
+            monkeypatch.undo()
+
+    async with mysql_environment(1) as env:
+        client = await env.connect()
+        monkeypatch.setattr(ServerConnection, "open", open_connection)
+        assert await execute(client, "SELECT COUNT(*) FROM tariff") == [(len(ROWS),)]
+        assert failing.times == 0
+
+
+@async_test
+async def test_a_request_is_refused_soon_while_no_dial_succeeds(monkeypatch: pytest.MonkeyPatch) -> None:
+    failing = Failing(1_000)
+    async with run_harness(OK) as harness:
+        fail_dials_to(harness, failing, monkeypatch)
+        began = time.monotonic()
+        assert (await harness.exchange("lodge")).status == 503  # nothing was sent
+        assert time.monotonic() - began < 1.0 and failing.times > 900
+        assert not harness.servers[0].received
+
+
 @async_test
 async def test_a_client_connection_without_a_socket_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
     def never(transport: asyncio.BaseTransport) -> object:
