MySQL: bound the statements of all clients by a share of the process's memory

Cause: what is unfinished was bounded by 256 MiB whatever the process's limit is, and what runs, or is kept as long data, was counted nowhere.

Change: StatementMemory counts all three and bounds them by a fifth of the limit. A statement over it is read to its end without being kept and gets 1153, "not run"; its connection goes on. Up to 16 KiB is always taken, and one that runs goes on.

Measured: the test of the share fails before (both statements are taken).

--- a/micadeck/mysql/client_session.py
+++ b/micadeck/mysql/client_session.py
@@ -32,8 +32,8 @@
     Row,
     TextPacket,
 )
-from micadeck.mysql.protocol.constants import Capability, Command, CursorType, ErrorCode, Status
-from micadeck.mysql.protocol.handshake import ChangeUser, Handshake, HandshakeResponse
+from micadeck.mysql.protocol.constants import Command, CursorType, ErrorCode, Status
+from micadeck.mysql.protocol.handshake import OFFERED, ChangeUser, Handshake, HandshakeResponse
 from micadeck.mysql.protocol.messages import Column, Err, Ok, PrepareOk
 from micadeck.mysql.protocol.packets import PacketReader, PacketTooLargeError
 from micadeck.mysql.protocol.wire import Cursor, ProtocolError, lenenc
@@ -42,30 +42,13 @@
 from micadeck.mysql.server_connection import ServerConnection
 from micadeck.mysql.session import Handle, LimitError, Session
 from micadeck.mysql.statement import Kind, Pin, Refusal, Statement
+from micadeck.mysql.statement_memory import ClientShare
 from micadeck.mysql.transport import Response, StatementRequest
 from micadeck.network import Timer
 
 if TYPE_CHECKING:
     from micadeck.mysql.listener import MysqlListener
 
-OFFERED = (
-    Capability.LONG_PASSWORD
-    | Capability.FOUND_ROWS
-    | Capability.LONG_FLAG
-    | Capability.CONNECT_WITH_DB
-    | Capability.PROTOCOL_41
-    | Capability.INTERACTIVE
-    | Capability.TRANSACTIONS
-    | Capability.SECURE_CONNECTION
-    | Capability.MULTI_STATEMENTS
-    | Capability.MULTI_RESULTS
-    | Capability.PS_MULTI_RESULTS
-    | Capability.PLUGIN_AUTH
-    | Capability.CONNECT_ATTRS
-    | Capability.PLUGIN_AUTH_LENENC_CLIENT_DATA
-    | Capability.SESSION_TRACK
-    | Capability.DEPRECATE_EOF
-)
 VERSION = b"8.0.36-micadeck"
 _MAX_LOGIN_PACKET_BYTES = 1 << 16
 _MAX_PIPELINED = 1 << 16  # bytes that a client may send while a statement runs
@@ -84,7 +67,7 @@
         self._number = number
         self._commands = 0
         self._packets = PacketReader(_MAX_LOGIN_PACKET_BYTES)
-        self._counted_bytes = 0  # included in the listener's `unfinished_bytes`
+        self._memory_share = ClientShare(listener.statement_memory)
         self._writer = ResponseWriter()
         self._transport: asyncio.Transport | None = None
         self._salt = new_salt()
@@ -127,10 +110,9 @@
         if self._is_closing:
             return
         self._packets.feed(data)
-        self._count_unfinished()
-        if self.listener.unfinished_bytes > self.listener.limits.max_unfinished_bytes:
-            self._close_with(Err(ErrorCode.PACKET_TOO_LARGE, "08S01", "too many bytes of unfinished packets"))
-            return
+        self._count_statement()
+        if self._running is None and self._memory_share.is_one_too_many:
+            self._packets.skip()
         self._read_commands()
         if self._running is not None and self._packets.size > _MAX_PIPELINED and self._transport is not None:
             # One client that keeps sending must not use up the limit that all clients share.
@@ -161,10 +143,14 @@
 
     # Reading
 
-    def _count_unfinished(self) -> None:
+    def _count_statement(self) -> None:
+        """Count what is received and not handled, the running statement and long data."""
         now = self._packets.size
-        self.listener.unfinished_bytes += now - self._counted_bytes
-        self._counted_bytes = now
+        if self.session is not None:
+            now += self.session.long_data_bytes
+        if self._running is not None and self._running.request is not None:
+            now += len(self._running.request.command)
+        self._memory_share.update(now)
 
     def _read_commands(self) -> None:
         """Handle commands while none is running."""
@@ -172,15 +158,18 @@
             while not self._is_closing and self._running is None and not self._is_write_paused:
                 is_command = self.session is not None and self._auth is None
                 payload = self._packets.next(from_zero=is_command)
-                self._count_unfinished()
+                self._count_statement()
                 if payload is None:
                     self._resume_reading()
                     return
                 self._writer.sequence = self._packets.sequence
-                if is_command:
+                if self._packets.was_skipped:
+                    self._refuse_skipped(payload, is_command=is_command)
+                elif is_command:
                     self._handle_command(payload)
                 else:
                     self._handle_login(payload)
+                self._count_statement()
         except PacketTooLargeError as error:
             self._writer.sequence = (self._packets.sequence + 1) & 0xFF  # the packet was not consumed
             self._close_with(Err(ErrorCode.PACKET_TOO_LARGE, "08S01", str(error)))
@@ -188,6 +177,14 @@
             # From log-in or packet framing: errors in commands are answered in `_handle_command`.
             self._close_with(Err(ErrorCode.HANDSHAKE, "08S01", str(error)))
 
+    def _refuse_skipped(self, payload: bytes, *, is_command: bool) -> None:
+        """Reject what was not kept; close if an answer is not expected or would not help."""
+        error = Err(ErrorCode.PACKET_TOO_LARGE, "08S01", "too many bytes of statements in memory; not run")
+        if is_command and not (payload and payload[0] in _WITHOUT_RESPONSE):
+            self._answer(error)
+        else:
+            self._close_with(error)
+
     def _resume_reading(self) -> None:
         if self._is_read_paused and self._transport is not None and not self._transport.is_closing():
             self._is_read_paused = False
@@ -697,8 +694,7 @@
         if self._stall_timer is not None:
             self._stall_timer.cancel()
         self.listener.clients.discard(self)
-        self.listener.unfinished_bytes -= self._counted_bytes
-        self._counted_bytes = 0
+        self._memory_share.update(0)
         running, self._running = self._running, None
         connection, self._bound = self._bound, None
         if running is not None:
--- a/micadeck/mysql/listener.py
+++ b/micadeck/mysql/listener.py
@@ -11,6 +11,7 @@
 from micadeck.mysql.auth import AuthStep, PasswordCheck, Users
 from micadeck.mysql.client_session import ClientSession
 from micadeck.mysql.routes import Routes
+from micadeck.mysql.statement_memory import StatementMemory
 from micadeck.mysql.statements import StatementReader
 from micadeck.mysql.transport import MysqlTransport
 from micadeck.network import Address, Listener, Network
@@ -25,7 +26,7 @@
 
     max_clients: int
     max_packet_bytes: int
-    max_unfinished_bytes: int  # of all clients together
+    max_unfinished_bytes: int  # of statements in memory, of all clients together
     max_handles: int
     max_long_data: int  # bytes, per session
     login_s: float
@@ -57,7 +58,7 @@
         self.statement_reader = StatementReader()
         self._password_checks = asyncio.Semaphore(_MAX_PASSWORD_CHECKS)
         self.clients: set[ClientSession] = set()
-        self.unfinished_bytes = 0  # incomplete packets, of all clients
+        self.statement_memory = StatementMemory(limits.max_unfinished_bytes)
         self.is_draining = False
         self.tasks: set[asyncio.Task[None]] = set()
         self._next_client = 1
--- a/micadeck/mysql/protocol/handshake.py
+++ b/micadeck/mysql/protocol/handshake.py
@@ -10,6 +10,26 @@
 _SALT_BYTES = 20  # followed by a zero byte on the wire
 _MAX_ATTRIBUTE_BYTES = 1 << 16
 
+OFFERED = (
+    Capability.LONG_PASSWORD
+    | Capability.FOUND_ROWS
+    | Capability.LONG_FLAG
+    | Capability.CONNECT_WITH_DB
+    | Capability.PROTOCOL_41
+    | Capability.INTERACTIVE
+    | Capability.TRANSACTIONS
+    | Capability.SECURE_CONNECTION
+    | Capability.MULTI_STATEMENTS
+    | Capability.MULTI_RESULTS
+    | Capability.PS_MULTI_RESULTS
+    | Capability.PLUGIN_AUTH
+    | Capability.CONNECT_ATTRS
+    | Capability.PLUGIN_AUTH_LENENC_CLIENT_DATA
+    | Capability.SESSION_TRACK
+    | Capability.DEPRECATE_EOF
+)
+"""The capabilities that clients are offered."""
+
 
 @dataclass(frozen=True, slots=True)
 class Handshake:
--- a/micadeck/mysql/session.py
+++ b/micadeck/mysql/session.py
@@ -113,7 +113,7 @@
         self.row_count = -1
         self.handles: dict[int, Handle] = {}
         self._next_handle = 1
-        self._long_data_bytes = 0
+        self.long_data_bytes = 0  # kept for prepared statements
         self.cursors: set[int] = set()  # handles that have one open
 
     def reset(self) -> None:
@@ -126,7 +126,7 @@
         self.insert_id, self.row_count = 0, -1
         self.handles.clear()
         self.cursors.clear()
-        self._long_data_bytes = 0
+        self.long_data_bytes = 0
 
     @property
     def found_rows(self) -> bool:
@@ -155,7 +155,7 @@
     def remove_handle(self, number: int) -> None:
         handle = self.handles.pop(number, None)
         if handle is not None:
-            self._long_data_bytes -= sum(map(len, handle.long_data.values()))
+            self.long_data_bytes -= sum(map(len, handle.long_data.values()))
         self.close_cursor(number)
 
     def close_cursor(self, number: int) -> None:
@@ -175,13 +175,13 @@
         handle = self.handles[number]
         if parameter >= handle.parameters:
             raise ProtocolError(f"COM_STMT_SEND_LONG_DATA: parameter: there is no {parameter}")
-        if self._long_data_bytes + len(data) > self._max_long_data:
+        if self.long_data_bytes + len(data) > self._max_long_data:
             raise LimitError(f"over {self._max_long_data} bytes of long data in one session")
-        self._long_data_bytes += len(data)
+        self.long_data_bytes += len(data)
         handle.long_data.setdefault(parameter, bytearray()).extend(data)
 
     def clear_long_data(self, handle: Handle) -> None:
-        self._long_data_bytes -= sum(map(len, handle.long_data.values()))
+        self.long_data_bytes -= sum(map(len, handle.long_data.values()))
         handle.clear()
 
     # Statements
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -86,6 +86,8 @@
         engine.memory = runtime.memory  # not in the library, which leaves its host's memory alone
         self.memory_relief = MemoryRelief(network, runtime.memory, self.listener, runtime.upstream)
         self.mysql = self._make_mysql(config, network, log)
+        if self.mysql is not None:
+            self.mysql.listener.statement_memory.process = runtime.memory
         self.lifecycle = Lifecycle()
         self.admin = AdminThread(network, self) if config.operator is not None else None
         self._connection_drain = ConnectionDrain(network, self.lifecycle, self.listener)
--- a/tests/test_mysql_program.py
+++ b/tests/test_mysql_program.py
@@ -27,9 +27,10 @@
 
 from micadeck.cli import main
 from micadeck.config import ConfigError, parse
+from micadeck.memory.budget import MemoryBudget
 from micadeck.mysql import config as mysql_config
 from micadeck.mysql.auth import Verifier
-from micadeck.mysql.protocol.constants import Capability, Command
+from micadeck.mysql.protocol.constants import Capability, Command, ErrorCode
 from micadeck.mysql.service import MysqlService
 from micadeck.mysql.transport import StatementRequest
 from micadeck.network import LoopNetwork
@@ -166,7 +167,7 @@
             connection._writer.write(b"\x01\0\0\x05" + bytes((Command.PING,)))  # a wrong sequence number
             assert (await connection.packet())[:1] == b"\xff"
             await until(lambda: not env.service.listener.clients)
-            assert env.service.listener.unfinished_bytes == 0
+            assert env.service.listener.statement_memory.held_bytes == 0
             assert make_config("127.0.0.1:1").name == "mysql"
 
     run_async(work)
@@ -212,7 +213,7 @@
             count = (4 << 20) // len(ping)
             greedy._writer.write(ping * count)
             await asyncio.sleep(0.1)
-            assert env.service.listener.unfinished_bytes < 1 << 20
+            assert env.service.listener.statement_memory.held_bytes < 1 << 20
             server.takes_s = 0.0
             assert await execute(other, "SELECT COUNT(*) FROM tariff") == [(len(ROWS),)]
             for _ in range(5):  # the statement's answer
@@ -223,6 +224,35 @@
     run_async(work)
 
 
+def test_statements_of_all_clients_take_a_share_of_the_process_memory() -> None:
+    # Guards against a process over its memory limit, by statements each of which is within its own limit.
+    async def work() -> None:
+        async with mysql_environment(1) as env:
+            listener, server = env.service.listener, env.servers[0]
+            listener.statement_memory.process = MemoryBudget(10 << 20)
+            bound = listener.statement_memory.max_bytes
+            assert bound == 2 << 20
+            large = b"INSERT INTO lodged VALUES ('k', '" + b"x" * (3 * bound // 4) + b"')"
+            connections = [RawConnection(await env.connect()) for _ in range(3)]
+            server.takes_s = 0.2
+            for connection in connections[:2]:
+                connection.send(bytes((Command.QUERY,)) + large)
+            # One runs, and the other one would be over the bound.
+            refused = b"\xff" + int(ErrorCode.PACKET_TOO_LARGE).to_bytes(2, "little")
+            answers = [await soon(connection.packet()) for connection in connections[:2]]
+            assert sorted(answer[:1] for answer in answers) == [b"\x00", b"\xff"]
+            assert refused in [answer[:3] for answer in answers]
+            assert listener.statement_memory.held_bytes <= bound
+            server.takes_s = 0.0
+            for kept in connections:
+                kept.send(bytes((Command.QUERY,)) + large)
+                answer = await soon(kept.packet())
+                assert answer[:1] == b"\x00", answer
+            await until(lambda: listener.statement_memory.held_bytes == 0)
+
+    run_async(work)
+
+
 @pytest.mark.parametrize("end", ["served", "failed", "client left"])
 def test_a_statement_that_ended_is_freed_without_a_garbage_collection(end: str) -> None:
     # Guards against megabytes of text that are kept by a cycle of references, in no account of memory.
@@ -249,6 +279,36 @@
         gc.enable()
 
 
+def test_small_statements_are_served_while_large_ones_fill_their_share() -> None:
+    async def work() -> None:
+        async with mysql_environment(1) as env:
+            listener = env.service.listener
+            other = await env.connect()
+            listener.statement_memory.process = MemoryBudget(1 << 20)
+            listener.statement_memory.held_bytes += listener.statement_memory.max_bytes
+            assert await execute(other, "SELECT COUNT(*) FROM tariff") == [(len(ROWS),)]
+
+    run_async(work)
+
+
+def test_long_data_counts_as_statements_in_memory() -> None:
+    async def work() -> None:
+        async with mysql_environment(1) as env:
+            listener = env.service.listener
+            listener.statement_memory.process = MemoryBudget(1 << 20)
+            connection = RawConnection(await env.connect())
+            connection.send(bytes((Command.STMT_PREPARE,)) + b"INSERT INTO lodged VALUES (?, ?)")
+            prepared = await soon(connection.packet())
+            assert prepared[:1] == b"\x00"
+            part = bytes((Command.STMT_SEND_LONG_DATA,)) + prepared[1:5] + b"\0\0" + b"x" * (1 << 16)
+            for _ in range(4):
+                connection.send(part)
+            await until(lambda: not listener.clients)
+            assert listener.statement_memory.held_bytes == 0
+
+    run_async(work)
+
+
 def test_servers_are_discovered_from_consul() -> None:
     async def work() -> None:
         servers = [StandInMysql("m-0"), StandInMysql("m-1")]
--- a/tests/test_mysql_protocol.py
+++ b/tests/test_mysql_protocol.py
@@ -355,3 +355,29 @@
         Login(SECRET, CACHING_SHA2, new_salt()).read(payload)
     except (ProtocolError, LoginFailed):
         pass
+
+
+@pytest.mark.parametrize("size", [0, 1, 5, 1_000, MAX_PAYLOAD_BYTES, MAX_PAYLOAD_BYTES + 3])
+@pytest.mark.parametrize("chunk", [1, 3, 7, 1 << 16])
+@pytest.mark.parametrize("skipped_after", [0, 5, 9])  # bytes that are received before
+def test_a_skipped_payload_is_not_kept_and_the_next_one_is_read(
+    size: int, chunk: int, skipped_after: int
+) -> None:
+    payload = b"\x03" + b"x" * (size - 1) if size else b""
+    raw = frame(payload, 0)[0]
+    chunk = max(chunk, len(raw) // 1_000)  # a thousand feeds at most
+    reader = PacketReader(2 * MAX_PAYLOAD_BYTES)
+    reader.feed(raw[:skipped_after])
+    assert reader.next(from_zero=True) == (payload if len(raw) <= skipped_after else None)
+    if len(raw) <= skipped_after:
+        return
+    reader.skip()
+    got = None
+    for at in range(skipped_after, len(raw), chunk):
+        assert got is None
+        reader.feed(raw[at : at + chunk])
+        got = reader.next(from_zero=True)
+        assert reader.size <= chunk + 16
+    assert got == payload[:1] and reader.was_skipped and reader.is_empty
+    reader.feed(frame(b"\x0e", 0)[0])
+    assert reader.next(from_zero=True) == b"\x0e" and not reader.was_skipped
