--- a/micadeck/mysql/auth.py
+++ b/micadeck/mysql/auth.py
@@ -185,6 +185,20 @@
     schemas: frozenset[str] | None = None  # None: any
 
 
+def schema_error(user: User | None, schema: bytes | None) -> Err | None:
+    """The error for a schema that is not among the user's."""
+    name = schema_name(schema)
+    if user is None or schema is None or user.schemas is None or name in user.schemas:
+        return None
+    text = f"Access denied for user '{user.name}'@'client' to database '{name}'"
+    return Err(ErrorCode.DBACCESS_DENIED, "42000", text)
+
+
+def schema_name(schema: bytes | None) -> str:
+    """The name as text; empty without a schema."""
+    return schema.decode("utf-8", "replace") if schema is not None else ""
+
+
 class Users:
     """The accounts, and a cache of password digests for fast authentication.
 
--- a/micadeck/mysql/client_session.py
+++ b/micadeck/mysql/client_session.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import replace
 from typing import TYPE_CHECKING, cast
 
 from micadeck.mysql.auth import (
@@ -19,6 +18,8 @@
     ServerAuthentication,
     User,
     new_salt,
+    schema_error,
+    schema_name,
 )
 from micadeck.mysql.charsets import names_of
 from micadeck.mysql.error_mapping import TABLE, ClientError, StatementFailure, Transaction, statement_context
@@ -121,26 +122,23 @@
 
     def pause_writing(self) -> None:
         self._is_write_paused = True
-        if (
-            self._running is not None
-            and self._running.stream is not None
-            and self._running.stream.connection is not None
-        ):
-            self._running.stream.connection.pause_reading()
+        if (connection := self._responding_connection()) is not None:
+            connection.pause_reading()
         self._stall_timer = self.listener.network.call_later(self.listener.limits.stall_s, self.close)
 
     def resume_writing(self) -> None:
         self._is_write_paused = False
         if self._stall_timer is not None:
             self._stall_timer.cancel()
-        if (
-            self._running is not None
-            and self._running.stream is not None
-            and self._running.stream.connection is not None
-        ):
-            self._running.stream.connection.resume_reading()
+        if (connection := self._responding_connection()) is not None:
+            connection.resume_reading()
         self._read_commands()
 
+    def _responding_connection(self) -> ServerConnection | None:
+        """The server connection whose response is passed on."""
+        stream = self._running.stream if self._running is not None else None
+        return stream.connection if stream is not None else None
+
     # Reading
 
     def _count_statement(self) -> None:
@@ -231,7 +229,7 @@
         if names is None:
             self._close_with(Err(1115, "42000", f"Unknown character set: {login.charset}"))
             return
-        if (error := _denied(user, schema)) is not None:
+        if (error := schema_error(user, schema)) is not None:
             self._close_with(error)
             return
         limits = self.listener.limits
@@ -297,7 +295,7 @@
             case Command.QUIT:
                 self.close()
             case Command.INIT_DB:
-                if (error := _denied(self._user, payload[1:])) is not None:
+                if (error := schema_error(self._user, payload[1:])) is not None:
                     self._answer(error)
                 else:
                     use = Statement(Kind.USE, schema=payload[1:], pure_calls=True)
@@ -325,7 +323,7 @@
             self._refuse(ErrorCode.NOT_SUPPORTED, "42000", statement.refusal.value)
         elif statement.count > 1 and not session.multi_statements:
             self._refuse(ErrorCode.PARSE, "42000", "several statements, and CLIENT_MULTI_STATEMENTS is off")
-        elif statement.kind is Kind.USE and (error := _denied(self._user, statement.schema)) is not None:
+        elif statement.kind is Kind.USE and (error := schema_error(self._user, statement.schema)) is not None:
             self._answer(error)
         elif statement.session_value is not None and not session.pins and not self._is_bound_lost:
             value = session.insert_id if statement.session_value == "last_insert_id" else session.row_count
@@ -392,7 +390,7 @@
             command += nulls + b"\x01" + handle.types + read.rest()
         statement = handle.statement
         if cursor:
-            statement = _with_cursor(statement)
+            statement = statement.with_cursor()
             session.cursors.add(number)
         self._run(statement, command, ResponseKind.RESULT, handle=handle)
 
@@ -452,7 +450,7 @@
                 self._answer_without_diagnostics(statement)
                 return None
         is_bound = self._bound is not None or self._is_bound_lost
-        route = listener.routes.route(statement, session.user, _decode(session.schema), is_bound=is_bound)
+        route = listener.routes.route(statement, session.user, schema_name(session.schema), is_bound=is_bound)
         context = statement_context(
             statement,
             in_transaction=session.in_transaction,
@@ -715,21 +713,6 @@
 _FETCH = Statement(Kind.OPAQUE, frozenset((Pin.CURSOR,)))
 
 
-def _with_cursor(statement: Statement) -> Statement:
-    return replace(statement, kind=Kind.OPAQUE, pins=statement.pins | {Pin.CURSOR})
-
-
-def _denied(user: User | None, schema: bytes | None) -> Err | None:
-    if user is None or schema is None or user.schemas is None or _decode(schema) in user.schemas:
-        return None
-    text = f"Access denied for user '{user.name}'@'client' to database '{_decode(schema)}'"
-    return Err(ErrorCode.DBACCESS_DENIED, "42000", text)
-
-
-def _decode(schema: bytes | None) -> str:
-    return schema.decode("utf-8", "replace") if schema is not None else ""
-
-
 def _column_name(text: bytes) -> bytes:
     """The name that a server gives the column."""
     return text.strip().rstrip(b";").split(None, 1)[1].strip()[:64]
--- a/micadeck/mysql/statement.py
+++ b/micadeck/mysql/statement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum, unique
 
 
@@ -75,3 +75,7 @@
     def is_plain(self) -> bool:
         """Whether a rollback undoes all its effects, and it can't commit by itself."""
         return self.kind in (Kind.READ, Kind.WRITE, Kind.SET, Kind.USE, Kind.SAVEPOINT) and self.count == 1
+
+    def with_cursor(self) -> Statement:
+        """The statement, executed so that its rows are fetched through a cursor."""
+        return replace(self, kind=Kind.OPAQUE, pins=self.pins | {Pin.CURSOR})
