MySQL: judge each command by itself against the share of memory

Callers got 1153 for a small command sent ahead of a large one, and lost their session by COM_STMT_CLOSE while their long data was over the share: the command that frees it.

Cause: all that a client had received, and its long data, was judged as one statement, and the first command of it was refused. Evidence: the two tests.

Change: each payload is judged by its own size, long data by what is kept with it; what is skipped is dropped at once. A closed client counts 0.

--- a/micadeck/mysql/client_session.py
+++ b/micadeck/mysql/client_session.py
@@ -111,9 +111,6 @@
         if self._is_closing:
             return
         self._packets.feed(data)
-        self._count_statement()
-        if self._running is None and self._memory_share.is_one_too_many:
-            self._packets.skip()
         self._read_commands()
         if self._running is not None and self._packets.size > _MAX_PIPELINED and self._transport is not None:
             # One client that keeps sending must not use up the limit that all clients share.
@@ -143,40 +140,53 @@
 
     def _count_statement(self) -> None:
         """Count what is received and not handled, the running statement and long data."""
-        now = self._packets.size
-        if self.session is not None:
-            now += self.session.long_data_bytes
+        now = self._packets.size + self._long_data_bytes
         if self._running is not None and self._running.request is not None:
             now += len(self._running.request.command)
-        self._memory_share.update(now)
+        self._memory_share.update(0 if self._is_closing else now)
+
+    @property
+    def _long_data_bytes(self) -> int:
+        return self.session.long_data_bytes if self.session is not None else 0
 
     def _read_commands(self) -> None:
         """Handle commands while none is running."""
+        self._count_statement()
+        while not self._is_closing and self._running is None and not self._is_write_paused:
+            if not self._read_command():
+                self._resume_reading()
+                break
+            self._count_statement()
+
+    def _read_command(self) -> bool:
+        """Handle the next command; False if it is not complete."""
+        is_command = self.session is not None and self._auth is None
         try:
-            while not self._is_closing and self._running is None and not self._is_write_paused:
-                is_command = self.session is not None and self._auth is None
-                payload = self._packets.next(from_zero=is_command)
-                self._count_statement()
-                if payload is None:
-                    self._resume_reading()
-                    return
-                self._writer.sequence = self._packets.sequence
-                if self._packets.was_skipped:
-                    self._refuse_skipped(payload, is_command=is_command)
-                elif is_command:
-                    self._handle_command(payload)
-                else:
-                    self._handle_login(payload)
+            payload = self._packets.next(from_zero=is_command)
+            if payload is None:
+                if self._memory_share.must_refuse(self._packets.size):
+                    self._packets.skip()
                 self._count_statement()
+                return False
+            self._writer.sequence = self._packets.sequence
+            is_long_data = payload[:1] == _LONG_DATA
+            size = len(payload) + (self._long_data_bytes if is_long_data else 0)
+            if self._packets.was_skipped or self._memory_share.must_refuse(size):
+                self._refuse_for_memory(payload, is_command=is_command)
+            elif is_command:
+                self._handle_command(payload)
+            else:
+                self._handle_login(payload)
         except PacketTooLargeError as error:
             self._writer.sequence = (self._packets.sequence + 1) & 0xFF  # the packet was not consumed
             self._close_with(Err(ErrorCode.PACKET_TOO_LARGE, "08S01", str(error)))
         except ProtocolError as error:
             # From log-in or packet framing: errors in commands are answered in `_handle_command`.
             self._close_with(Err(ErrorCode.HANDSHAKE, "08S01", str(error)))
+        return True
 
-    def _refuse_skipped(self, payload: bytes, *, is_command: bool) -> None:
-        """Reject what was not kept; close if an answer is not expected or would not help."""
+    def _refuse_for_memory(self, payload: bytes, *, is_command: bool) -> None:
+        """Reject a payload that was not kept; close if an answer is not expected or would not help."""
         error = Err(ErrorCode.PACKET_TOO_LARGE, "08S01", "too many bytes of statements in memory; not run")
         if is_command and not (payload and payload[0] in _WITHOUT_RESPONSE):
             self._answer(error)
@@ -708,6 +718,7 @@
             self.listener.transport.unbind(connection)
 
 
+_LONG_DATA = bytes((Command.STMT_SEND_LONG_DATA,))
 _WITHOUT_RESPONSE = frozenset((Command.STMT_CLOSE, Command.STMT_SEND_LONG_DATA, Command.QUIT))
 _WITHOUT_SERVER = _WITHOUT_RESPONSE | {Command.PING, Command.STMT_RESET, Command.RESET_CONNECTION}
 _FETCH = Statement(Kind.OPAQUE, frozenset((Pin.CURSOR,)))
--- a/micadeck/mysql/protocol/packets.py
+++ b/micadeck/mysql/protocol/packets.py
@@ -48,9 +48,11 @@
         self._buffer += data
 
     def skip(self) -> None:
-        """Do not keep the payload that is being received."""
+        """Do not keep the payload that is being received; to be called when `next` had none."""
         self._is_skipping = True
         del self._pieces[1:]
+        if len(self._buffer) >= _HEADER_BYTES:
+            self._skip_received(int.from_bytes(self._buffer[:3], "little"))
 
     def next(self, *, from_zero: bool = False) -> bytes | None:
         """The next payload, if complete; `from_zero` at the start of a command."""
--- a/micadeck/mysql/statement_memory.py
+++ b/micadeck/mysql/statement_memory.py
@@ -45,7 +45,6 @@
         self._total.held_bytes += held_bytes - self._bytes
         self._bytes = held_bytes
 
-    @property
-    def is_one_too_many(self) -> bool:
-        """Whether the bound is exceeded, and this client holds more than a little."""
-        return self._bytes > _SMALL_BYTES and self._total.held_bytes > self._total.max_bytes
+    def must_refuse(self, size: int) -> bool:
+        """Whether the bound is exceeded, and `size`, of one statement, is more than a little."""
+        return size > _SMALL_BYTES and self._total.held_bytes > self._total.max_bytes
--- a/tests/test_mysql_program.py
+++ b/tests/test_mysql_program.py
@@ -31,6 +31,7 @@
 from micadeck.mysql import config as mysql_config
 from micadeck.mysql.auth import Verifier
 from micadeck.mysql.protocol.constants import Capability, Command, ErrorCode
+from micadeck.mysql.protocol.packets import frame
 from micadeck.mysql.service import MysqlService
 from micadeck.mysql.transport import StatementRequest
 from micadeck.network import LoopNetwork
@@ -309,6 +310,47 @@
     run_async(work)
 
 
+def test_only_the_large_one_of_pipelined_statements_is_refused_for_memory() -> None:
+    # Guards against a refusal of the statement ahead of the one that exceeds the share of memory.
+    async def work() -> None:
+        async with mysql_environment(1) as env:
+            memory = env.service.listener.statement_memory
+            memory.held_bytes = of_others = memory.max_bytes
+            connection = RawConnection(await env.connect())
+            small = frame(bytes((Command.PING,)), 0)[0]
+            large = bytes((Command.QUERY,)) + b"INSERT INTO lodged VALUES ('k', '" + b"x" * (1 << 16) + b"')"
+            connection._writer.write(small + frame(large, 0)[0] + small)
+            answers = [await connection.packet() for _ in range(3)]
+            assert [answer[:1] for answer in answers] == [b"\x00", b"\xff", b"\x00"]
+            assert int.from_bytes(answers[1][1:3], "little") == ErrorCode.PACKET_TOO_LARGE
+            await until(lambda: memory.held_bytes == of_others)
+
+    run_async(work)
+
+
+@pytest.mark.parametrize("end", [Command.STMT_CLOSE, Command.STMT_RESET, Command.STMT_EXECUTE])
+def test_long_data_over_the_share_of_memory_can_be_used_and_freed(end: Command) -> None:
+    # Guards against the loss of a session by the command that would free its memory.
+    async def work() -> None:
+        async with mysql_environment(1) as env:
+            memory = env.service.listener.statement_memory
+            connection = RawConnection(await env.connect())
+            statement = b"SELECT code FROM tariff WHERE code = ?"
+            prepared = await connection.request(bytes((Command.STMT_PREPARE,)) + statement, 5)
+            handle = prepared[0][1:5]
+            connection.send(bytes((Command.STMT_SEND_LONG_DATA,)) + handle + b"\0\0" + b"x" * (1 << 16))
+            await until(lambda: memory.held_bytes >= 1 << 16)
+            memory.process = MemoryBudget(1 << 18)
+            execution = b"\0" + (1).to_bytes(4, "little") + b"\0\x01\xfc\0"
+            connection.send(bytes((end,)) + handle + (execution if end is Command.STMT_EXECUTE else b""))
+            if end is not Command.STMT_CLOSE:
+                assert (await connection.packet())[:1] != b"\xff"
+            await until(lambda: memory.held_bytes == 0)
+            assert len(env.service.listener.clients) == 1
+
+    run_async(work)
+
+
 def test_servers_are_discovered_from_consul() -> None:
     async def work() -> None:
         servers = [StandInMysql("m-0"), StandInMysql("m-1")]
