--- a/tests/test_mysql_program.py
+++ b/tests/test_mysql_program.py
@@ -281,6 +281,7 @@
 
 
 def test_small_statements_are_served_while_large_ones_fill_their_share() -> None:
+    # Guards against a share of memory that, once it is full, refuses everything.
     async def work() -> None:
         async with mysql_environment(1) as env:
             listener = env.service.listener
@@ -293,6 +294,7 @@
 
 
 def test_long_data_counts_as_statements_in_memory() -> None:
+    # Guards against long data, kept until a statement runs, in no account of memory.
     async def work() -> None:
         async with mysql_environment(1) as env:
             listener = env.service.listener
