MySQL: read no further from a client that takes no answers

Callers could fill the process's memory: a client that sends commands and reads no answers had all that it sent kept until stall_s closes it.

Cause: reading paused only behind a running statement, and no command is handled while the client's socket takes nothing.

Change: reading pauses whenever no command can be handled and 64 KiB are waiting.

--- a/micadeck/mysql/client_session.py
+++ b/micadeck/mysql/client_session.py
@@ -52,7 +52,7 @@
 
 VERSION = b"8.0.36-micadeck"
 _MAX_LOGIN_PACKET_BYTES = 1 << 16
-_MAX_PIPELINED = 1 << 16  # bytes that a client may send while a statement runs
+_MAX_PIPELINED = 1 << 16  # bytes that a client may send ahead
 _READ = Statement(Kind.READ, pure_calls=True)
 _DEADLINE_SLACK_US = 5_000  # the decision module gives up a few ticks before the deadline
 _DIAGNOSTICS_RETENTION_S = 0.5  # how long a connection is kept for SHOW WARNINGS and the like
@@ -80,7 +80,7 @@
         self._bound: ServerConnection | None = None  # the connection that the session is bound to
         self._is_bound_lost = False  # it ended, and the client does not know yet
         self._is_write_paused = False  # the client leaves answers unread
-        self._is_read_paused = False  # until the running statement is answered
+        self._is_read_paused = False  # until commands are handled again
         self._is_closing = False
         self._timer: Timer | None = None
         self._stall_timer: Timer | None = None
@@ -112,10 +112,8 @@
             return
         self._packets.feed(data)
         self._read_commands()
-        if self._running is not None and self._packets.size > _MAX_PIPELINED and self._transport is not None:
-            # One client that keeps sending must not use up the limit that all clients share.
-            self._is_read_paused = True
-            self._transport.pause_reading()
+        if self._packets.size > _MAX_PIPELINED:
+            self._pause_reading()
 
     def pause_writing(self) -> None:
         self._is_write_paused = True
@@ -193,6 +191,13 @@
         else:
             self._close_with(error)
 
+    def _pause_reading(self) -> None:
+        """Pause while no command can be handled, so that what the client sends stays in the kernel."""
+        is_blocked = self._running is not None or self._is_write_paused
+        if is_blocked and self._transport is not None and not self._is_closing:
+            self._is_read_paused = True
+            self._transport.pause_reading()
+
     def _resume_reading(self) -> None:
         if self._is_read_paused and self._transport is not None and not self._transport.is_closing():
             self._is_read_paused = False
--- a/tests/test_mysql_program.py
+++ b/tests/test_mysql_program.py
@@ -353,6 +353,25 @@
     run_async(work)
 
 
+def test_a_client_that_leaves_answers_unread_is_not_read_without_bound() -> None:
+    # Guards against commands kept without bound of a client that sends on and takes no answers.
+    async def work() -> None:
+        async with mysql_environment(1) as env:
+            listener = env.service.listener
+            connection = RawConnection(await env.connect())
+            (session,) = listener.clients
+            session.pause_writing()
+            count = (4 << 20) // 5
+            connection._writer.write(frame(bytes((Command.PING,)), 0)[0] * count)
+            await asyncio.sleep(0.1)
+            assert listener.statement_memory.held_bytes < 1 << 20
+            session.resume_writing()
+            for _ in range(1_000):
+                assert (await connection.packet())[:1] == b"\x00"
+
+    run_async(work)
+
+
 def test_servers_are_discovered_from_consul() -> None:
     async def work() -> None:
         servers = [StandInMysql("m-0"), StandInMysql("m-1")]
