HTTP: let the event loop go on between requests that are answered at once

Cause: requests that need no server were answered one after the other in one callback, and reading went on meanwhile: libuv reads some 32 times before the loop goes on.

Change: after such an answer the next request starts in the next iteration, and no more is read until then. DeferredCall holds this for HTTP and for MySQL's CommandReader.

--- a/micadeck/http/downstream_connection.py
+++ b/micadeck/http/downstream_connection.py
@@ -24,7 +24,7 @@
 )
 from micadeck.http.request_validation import BadRequestError
 from micadeck.memory.budget import OPEN_REQUEST_COST
-from micadeck.network import Stream
+from micadeck.network import DeferredCall, Stream
 
 _MAX_PIPELINED_BYTES = 8 << 10  # read ahead while a request is open, so that an EOF after them is noticed
 _HEALTH_PATH = b"/_health"
@@ -53,6 +53,7 @@
         self._is_writing_paused = False
         self._is_reading_paused = False
         self._pipelined_bytes = 0  # received after the open request and not processed yet
+        self._deferred_processing = DeferredCall(listener.network)
         self.state = ConnectionState.NEW
         self.since = 0.0  # when it entered the state; while READING, when the request began
         self._request_cost = 0  # memory charged for the open request, in bytes
@@ -192,16 +193,15 @@
             self.received_at = self._listener.network.time()  # reading was paused until now
             self._table.move(self, ConnectionState.READING)
             self._table.hold_memory(self, self._reader.cost)
-            self._listener.network.call_soon(self._process_and_charge)
+            self._deferred_processing.schedule(self._process_and_charge)
         elif not self._is_writing_paused:
             self._resume_reading()
 
     def close(self) -> None:
         """Half-close the connection once all written data is sent; the client closes the other side.
 
-        Every healthy connection is closed this way: a full close while bytes arrive would reset the
-        connection and lose the last answer.  Data received afterwards is dropped and reaches no server, so
-        the client may safely send it again elsewhere.
+        Every healthy connection is closed this way.  Data received afterwards is dropped and reaches no
+        server, so the client may safely send it again elsewhere.
         """
         if self.state is ConnectionState.CLOSING or self._transport is None or self._transport.is_closing():
             return
@@ -282,8 +282,8 @@
         if not self._reader.has_unprocessed:
             return
         self.received_at = self._listener.network.time()
-        if self._upload is None and (self._open_request is not None or self._download is not None):
-            # Bounds what a client may send ahead while its request is open.
+        if self._upload is None and self._is_waiting:
+            # Bounds what a client may send ahead.
             self._pipelined_bytes += nbytes
             if self._pipelined_bytes >= _MAX_PIPELINED_BYTES:
                 self._pause_reading()
@@ -422,17 +422,17 @@
         """Whether nothing but the client delays the rest of the request."""
         return self._upload is None or not self._upload.is_paused
 
+    @property
+    def _is_waiting(self) -> bool:
+        """Whether queued requests wait: for an open one, the client to read answers, or others' turn."""
+        is_busy = self._open_request is not None or self._download is not None
+        return is_busy or self._is_writing_paused or self._deferred_processing.is_scheduled
+
     def _process_requests(self) -> None:
         """Process queued requests until one is open or more data is needed."""
-        while (
-            self._open_request is None
-            and self._download is None
-            and self.state is not ConnectionState.CLOSING
-            and self._transport is not None
-            and not self._transport.is_closing()
-        ):
-            if self._is_writing_paused:
-                return  # a client that reads no answers gets no further request processed
+        while not self._is_waiting and self.state is not ConnectionState.CLOSING:
+            if self._transport is None or self._transport.is_closing():
+                return
             if self._reader.requests:
                 self._start_request(self._reader.pop_request())
             elif self._reader.error_status is not None:
--- a/micadeck/mysql/command_reader.py
+++ b/micadeck/mysql/command_reader.py
@@ -9,7 +9,7 @@
 from micadeck.mysql.protocol.packets import PacketReader
 from micadeck.mysql.protocol.wire import ProtocolError
 from micadeck.mysql.statement_memory import ClientShare, StatementMemory
-from micadeck.network import Network
+from micadeck.network import DeferredCall, Network
 
 _MAX_LOGIN_PACKET_BYTES = 1 << 16
 _MAX_PIPELINED_BYTES = 1 << 16  # that a client may send ahead while no command can be handled
@@ -59,26 +59,23 @@
         self.transport: asyncio.Transport | None = None
         self.packets = PacketReader(_MAX_LOGIN_PACKET_BYTES)
         self._handler = handler
-        self._network = network
         self._share = ClientShare(memory)
         self._is_paused = False  # until payloads are handled again
-        self._is_scheduled = False  # payloads are handled in the next iteration of the event loop
+        self._deferred_read = DeferredCall(network)
         self._is_closed = False
 
     def feed(self, data: bytes) -> None:
         """Take received bytes, and handle what is complete."""
         self.packets.feed(data)
         self.read()
-        if self.packets.size > _MAX_PIPELINED_BYTES and (self._is_scheduled or not self._handler.is_ready):
+        if self.packets.size > _MAX_PIPELINED_BYTES and not self._can_read:
             self._pause()
 
     def read(self) -> None:
         """Handle payloads while the session is ready, but only a few before the event loop goes on."""
         self._count()
-        if self._is_scheduled:
-            return
         for _ in range(_MAX_COMMANDS_PER_ITERATION):
-            if self._is_closed or not self._handler.is_ready:
+            if not self._can_read:
                 return
             if not self._read_payload():
                 self._resume()
@@ -88,18 +85,18 @@
 
     def read_soon(self) -> None:
         """Handle payloads in the next iteration of the event loop."""
-        if not self._is_scheduled:
-            self._is_scheduled = True
-            self._network.call_soon(self._read_scheduled)
+        self._deferred_read.schedule(self.read)
 
     def close(self) -> None:
-        """Handle nothing more, and count nothing more."""
+        """Handle nothing more, and keep nothing."""
         self._is_closed = True
+        self.packets.clear()
         self._share.update(0)
 
-    def _read_scheduled(self) -> None:
-        self._is_scheduled = False
-        self.read()
+    @property
+    def _can_read(self) -> bool:
+        """Whether a payload may be handled now."""
+        return not self._is_closed and not self._deferred_read.is_scheduled and self._handler.is_ready
 
     def _read_payload(self) -> bool:
         """Handle the next payload; False if it is not complete."""
--- a/micadeck/mysql/protocol/packets.py
+++ b/micadeck/mysql/protocol/packets.py
@@ -44,6 +44,11 @@
         """Bytes buffered."""
         return len(self._buffer) + len(self._pieces)
 
+    def clear(self) -> None:
+        """Drop what is buffered; nothing is read afterwards."""
+        self._buffer.clear()
+        self._pieces.clear()
+
     def feed(self, data: bytes) -> None:
         self._buffer += data
 
--- a/micadeck/network/__init__.py
+++ b/micadeck/network/__init__.py
@@ -4,6 +4,7 @@
 The simulation replaces it by a virtual clock and an in-memory network.
 """
 
+from micadeck.network.deferred_call import DeferredCall
 from micadeck.network.interfaces import (
     Address,
     Listener,
@@ -19,6 +20,7 @@
 
 __all__ = [
     "Address",
+    "DeferredCall",
     "Listener",
     "LoopNetwork",
     "LoopScheduler",
