Shut connections down without a duplicate descriptor

Callers' connections stayed open for good, each with a descriptor of the process, where getsockname fails for lack of buffers as a connection is shut down.

Cause: Python asks for the name of a socket that it makes of a descriptor. The error was taken for one of a closed connection, and the duplicate, which keeps the connection open, was closed by nobody.

Change: a second socket object on the transport's own descriptor, with family, type and protocol given, which asks for nothing, and lets go of it.

--- a/micadeck/network/stream_socket.py
+++ b/micadeck/network/stream_socket.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import os
 import select
 import socket
 import struct
@@ -76,14 +75,21 @@
         self._shutdown(socket.SHUT_RDWR, discard_unsent=discard_unsent)
 
     def _shutdown(self, how: int, *, discard_unsent: bool) -> None:
-        # Uses a duplicate descriptor: the event loop's transports allow only reads of their sockets' state.
-        with (
-            contextlib.suppress(OSError),  # the peer has closed the connection
-            socket.socket(fileno=os.dup(self._socket.fileno())) as duplicate,
-        ):
+        descriptor = self._socket.fileno()
+        if descriptor < 0:
+            return  # it is closed
+        # The event loop's transports allow only reads of their sockets' state.  With family, type and
+        # protocol given, a second socket object makes no system call that could fail.
+        family, kind, protocol = self._socket.family, self._socket.type, self._socket.proto
+        shared = socket.socket(family, kind, protocol, fileno=descriptor)
+        try:
             if discard_unsent:
-                duplicate.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-            duplicate.shutdown(how)
+                shared.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+            shared.shutdown(how)
+        except OSError:
+            pass  # the peer has closed the connection
+        finally:
+            shared.detach()  # the descriptor belongs to the transport
 
 
 def open_stream_socket(transport: asyncio.BaseTransport) -> StreamSocket:
--- a/tests/shim/test_failing_calls.py
+++ b/tests/shim/test_failing_calls.py
@@ -75,6 +75,20 @@
     run_async(work)
 
 
+def test_a_connection_is_shut_down_although_its_name_is_not_available(shim: Path) -> None:
+    # Guards against a connection that stays open for good, with its descriptor, where getsockname fails.
+    faults = {
+        "SHIM_CALL": "getsockname",
+        "SHIM_ERRNO": str(errno.ENOBUFS),
+        "SHIM_SHARE": "1000",
+        "SHIM_SEED": "7",
+    }
+    environment = {**os.environ, **faults, "LD_PRELOAD": str(shim), "PYTHONPATH": str(ROOT)}
+    program = [sys.executable, str(SOURCE.parent / "failing_shutdown.py")]
+    output = subprocess.run(program, env=environment, check=True, capture_output=True, timeout=20).stdout
+    assert output == b"{b''} 0\n"
+
+
 @pytest.mark.parametrize("number", [errno.ENOMEM, errno.ENOSPC], ids=errno.errorcode.get)
 def test_startup_retries_while_the_event_loop_fails_to_start(number: int, shim: Path, tmp_path: Path) -> None:
     """The daemon could end with code 3: a loop that failed to start can't be run again or closed."""
