MySQL: a drain waits for commands that wait for their turn

Callers whose commands were received, and not handled yet, got no answer where a drain ended: since commands wait for their turn, and only a running statement or a bound connection made a session busy.

Change: a session with commands to be handled is busy. HTTP refuses or answers what is queued already; a test holds that now.

Measured: the test fails before and passes; the one of HTTP passes before as well. MySQL's tests pass.

--- a/micadeck/mysql/client_session.py
+++ b/micadeck/mysql/client_session.py
@@ -83,7 +83,7 @@
 
     @property
     def is_busy(self) -> bool:
-        return self._running is not None or self._bound is not None
+        return self._running is not None or self._bound is not None or self._reader.has_deferred
 
     # Called by the event loop
 
--- a/micadeck/mysql/command_reader.py
+++ b/micadeck/mysql/command_reader.py
@@ -63,6 +63,11 @@
         self._deferred_read = DeferredCall(network)
         self._is_closed = False
 
+    @property
+    def has_deferred(self) -> bool:
+        """Whether payloads were received that the next iteration of the event loop handles."""
+        return self._deferred_read.is_scheduled and not self._is_closed
+
     def feed(self, data: bytes) -> None:
         """Take received bytes, and handle what is complete."""
         self.packets.feed(data)
--- a/micadeck/mysql/listener.py
+++ b/micadeck/mysql/listener.py
@@ -90,7 +90,7 @@
 
     @property
     def busy_count(self) -> int:
-        """The number of clients with a running statement or a bound connection."""
+        """The number of clients with a running statement, commands to be handled or a bound connection."""
         return sum(client.is_busy for client in self.clients)
 
     def statistics(self) -> str:
--- a/tests/test_mysql_program.py
+++ b/tests/test_mysql_program.py
@@ -394,6 +394,23 @@
     run_async(work)
 
 
+def test_pipelined_commands_are_answered_in_a_drain() -> None:
+    # Guards against a drain that closes a session between two commands that were received.
+    async def work() -> None:
+        async with mysql_environment(1) as env:
+            connection = RawConnection(await env.connect())
+            (session,) = env.service.listener.clients
+            count = 2_000
+            session.data_received(frame(bytes((Command.PING,)), 0)[0] * count)
+            draining = asyncio.create_task(env.service.drain(5.0))
+            for _ in range(count):
+                assert (await connection.packet())[:1] == b"\x00"
+            await soon(draining)
+            assert not env.service.listener.clients
+
+    run_async(work)
+
+
 def test_servers_are_discovered_from_consul() -> None:
     async def work() -> None:
         servers = [StandInMysql("m-0"), StandInMysql("m-1")]
--- a/tests/test_pipelined_requests.py
+++ b/tests/test_pipelined_requests.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from loopback import async_test, reply, run_harness, until
+import asyncio
+
+import pytest
+from loopback import async_test, reply, run_harness, soon, until
 
 HEALTH = b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"  # answered without a server
 
@@ -24,6 +27,27 @@
         await until(connection._transport.is_reading)
 
 
+@pytest.mark.parametrize("is_stopping", [True, False])
+@async_test
+async def test_requests_that_wait_for_their_turn_are_answered_in_a_drain(is_stopping: bool) -> None:
+    # Guards against a drain that closes the connection between two requests that were received.
+    async with run_harness(reply(b"ok")) as harness:
+        client = await harness.client()
+        (connection,) = harness.sidecar.listener.connections
+        buffer = connection.get_buffer(-1)
+        count = len(buffer) // len(HEALTH)
+        sent = HEALTH * count
+        buffer[: len(sent)] = sent
+        connection.buffer_updated(len(sent))
+        stopping = asyncio.ensure_future(harness.sidecar.stop()) if is_stopping else None
+        assert is_stopping or harness.sidecar.drain()
+        answers = [await client.answer() for _ in range(count)]
+        assert {answer.status for answer in answers} <= {200, 503}
+        assert await soon(client.reader.read()) == b""
+        if stopping is not None:
+            await soon(stopping)
+
+
 @async_test
 async def test_many_requests_sent_at_once_are_all_answered() -> None:
     # Guards against a connection whose reading is paused for good behind requests that are answered at once.
