--- a/benchmarks/library.py
+++ b/benchmarks/library.py
@@ -25,7 +25,8 @@
 
 from micadeck import Kind, Micadeck
 from micadeck.http.client import ClientConnection, Failure
-from micadeck.http.h1 import MAX_BODY_BYTES, Request, Response
+from micadeck.http.h1 import MAX_BODY_BYTES
+from micadeck.http.messages import Request, Response
 from micadeck.httpx import AsyncMicadeckTransport
 from micadeck.library.request_validation import RequestOptions, to_http
 from micadeck.network import LoopNetwork
--- a/micadeck/http/client.py
+++ b/micadeck/http/client.py
@@ -11,7 +11,8 @@
 from typing import cast
 
 from micadeck.http.body_stream import MAX_BUFFERED_BYTES, BodyStream, BufferBudget
-from micadeck.http.h1 import LAST_CHUNK, Request, Response, ResponseReader, encode_chunk
+from micadeck.http.h1 import ResponseReader
+from micadeck.http.messages import LAST_CHUNK, Request, Response, encode_chunk
 from micadeck.memory.budget import MemoryUse
 from micadeck.network import Network, Stream, Timer
 
--- a/micadeck/http/connection_ports.py
+++ b/micadeck/http/connection_ports.py
@@ -7,7 +7,7 @@
 from micadeck.engine import Engine
 from micadeck.http.body_stream import BufferBudget
 from micadeck.http.connection_limits import ConnectionState
-from micadeck.http.h1 import Request
+from micadeck.http.messages import Request
 from micadeck.network import Network
 
 if TYPE_CHECKING:
--- a/micadeck/http/downstream_connection.py
+++ b/micadeck/http/downstream_connection.py
@@ -11,17 +11,8 @@
 from micadeck.http.body_stream import BodyStream
 from micadeck.http.connection_limits import ConnectionState
 from micadeck.http.connection_ports import ConnectionRegistry, ListenerPort
-from micadeck.http.h1 import (
-    CONTINUE,
-    LAST_CHUNK,
-    MAX_BODY_BYTES,
-    Headers,
-    Request,
-    RequestReader,
-    Response,
-    encode_chunk,
-    encode_head,
-)
+from micadeck.http.h1 import MAX_BODY_BYTES, RequestReader
+from micadeck.http.messages import CONTINUE, LAST_CHUNK, Headers, Request, Response, encode_chunk, encode_head
 from micadeck.http.request_validation import BadRequestError
 from micadeck.memory.budget import OPEN_REQUEST_COST
 from micadeck.network import DeferredCall, Stream
--- a/micadeck/http/error_responses.py
+++ b/micadeck/http/error_responses.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from micadeck.engine import FailureCause
-from micadeck.http.h1 import Headers, Request, Response
+from micadeck.http.messages import Headers, Request, Response
 
 FinalAnswer = tuple[int, Headers, bytes]
 
--- a/micadeck/http/exchange.py
+++ b/micadeck/http/exchange.py
@@ -6,7 +6,7 @@
 
 from micadeck.engine import AttemptCallback
 from micadeck.http.client import STREAM_DEADLINE_GRACE_S, ClientConnection
-from micadeck.http.h1 import Request, Response
+from micadeck.http.messages import Request, Response
 from micadeck.http.request_validation import ValidatedRequest
 from micadeck.network import Network, Timer
 
--- a/micadeck/http/listener.py
+++ b/micadeck/http/listener.py
@@ -10,7 +10,8 @@
 from micadeck.http.connection_table import ConnectionTable
 from micadeck.http.connection_timeouts import TimeoutSweeper
 from micadeck.http.downstream_connection import DownstreamConnection
-from micadeck.http.h1 import MAX_BODY_BYTES, Request
+from micadeck.http.h1 import MAX_BODY_BYTES
+from micadeck.http.messages import Request
 from micadeck.http.request_validation import BadRequestError, ValidatedRequest, read_request
 from micadeck.http.settings_versions import OVERLAP_US, SettingsVersions
 from micadeck.network import Address, Listener, Network
--- a/micadeck/http/request_validation.py
+++ b/micadeck/http/request_validation.py
@@ -9,7 +9,7 @@
 
 from micadeck.engine import ports
 from micadeck.http.body_stream import BodyStream
-from micadeck.http.h1 import Headers, Request, Response
+from micadeck.http.messages import Headers, Request, Response
 from micadeck.http.settings_versions import SettingsVersions
 from micadeck.policy.settings import Idempotency, ServiceClass
 
--- a/micadeck/http/upstream.py
+++ b/micadeck/http/upstream.py
@@ -11,7 +11,8 @@
 from micadeck.http.body_stream import MAX_BUFFERED_BYTES, BufferBudget
 from micadeck.http.client import ClientConnection, Failure
 from micadeck.http.exchange import Exchange
-from micadeck.http.h1 import MAX_BODY_BYTES, Request, Response
+from micadeck.http.h1 import MAX_BODY_BYTES
+from micadeck.http.messages import Request, Response
 from micadeck.http.request_validation import ValidatedRequest
 from micadeck.http.reuse_delay import ReuseDelay
 from micadeck.network import Address, Network, Timer
--- a/micadeck/library/answer.py
+++ b/micadeck/library/answer.py
@@ -7,7 +7,7 @@
 
 from micadeck.engine import FailureCause
 from micadeck.http import error_responses
-from micadeck.http.h1 import Headers, Response
+from micadeck.http.messages import Headers, Response
 
 
 @unique
--- a/micadeck/library/background_loop.py
+++ b/micadeck/library/background_loop.py
@@ -12,7 +12,7 @@
 
 from micadeck.config import Config
 from micadeck.engine import FailureCause, RequestIdInUseError
-from micadeck.http.h1 import Response
+from micadeck.http.messages import Response
 from micadeck.http.request_validation import ValidatedRequest
 from micadeck.library import answer as answers
 from micadeck.library.answer import Answer
--- a/micadeck/library/request_validation.py
+++ b/micadeck/library/request_validation.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass
 
 from micadeck.http.framing import MAX_HEAD_BYTES, MAX_HEADERS
-from micadeck.http.h1 import MAX_BODY_BYTES, Headers, Request
+from micadeck.http.h1 import MAX_BODY_BYTES
+from micadeck.http.messages import Headers, Request
 from micadeck.http.request_validation import BadRequestError, ValidatedRequest, key_of, read_request
 from micadeck.http.settings_versions import SettingsVersions
 from micadeck.policy.settings import Idempotency, ServiceClass, Settings
--- a/micadeck/membership/consul/client.py
+++ b/micadeck/membership/consul/client.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from micadeck.http.client import ClientConnection, Failure
-from micadeck.http.h1 import Request, Response
+from micadeck.http.messages import Request, Response
 from micadeck.http.reuse_delay import ReuseDelay
 from micadeck.membership.consul.protocol import (
     MAX_BODY_BYTES,
--- a/micadeck/membership/consul/protocol.py
+++ b/micadeck/membership/consul/protocol.py
@@ -13,7 +13,7 @@
 from typing import Any, Literal
 from urllib.parse import quote, urlencode, urlsplit
 
-from micadeck.http.h1 import Headers, Request, Response
+from micadeck.http.messages import Headers, Request, Response
 from micadeck.membership.errors import MembershipError
 from micadeck.network import Address, parse_address
 
--- a/micadeck/membership/discovery_client.py
+++ b/micadeck/membership/discovery_client.py
@@ -15,7 +15,7 @@
 from typing import Generic, TypeVar
 
 from micadeck.http.client import ClientConnection, Failure
-from micadeck.http.h1 import Request, Response
+from micadeck.http.messages import Request, Response
 from micadeck.membership.errors import DiscoveryCallError
 from micadeck.membership.watch_health import DIAL_TIMEOUT_S, ResponseTimeout
 from micadeck.network import Address, Network
--- a/micadeck/stand_ins/http_server.py
+++ b/micadeck/stand_ins/http_server.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 
-from micadeck.http.h1 import MAX_BODY_BYTES, Request, RequestReader, Response
+from micadeck.http.h1 import MAX_BODY_BYTES, RequestReader
+from micadeck.http.messages import Request, Response
 
 HOST = "127.0.0.1"
 
--- a/tests/broken_builds.py
+++ b/tests/broken_builds.py
@@ -10,7 +10,7 @@
 from micadeck.engine.open_requests import OpenRequests
 from micadeck.http import downstream_connection
 from micadeck.http.client import ClientConnection, Failure
-from micadeck.http.h1 import Response
+from micadeck.http.messages import Response
 from micadeck.http.upstream import ConnectionPool
 from micadeck.membership import watch_health
 from micadeck.policy import balancer, outlier_detection, selection
--- a/tests/embedding_parity.py
+++ b/tests/embedding_parity.py
@@ -17,7 +17,8 @@
 from micadeck.asgi import MicadeckMiddleware
 from micadeck.config import Config
 from micadeck.http.connection_limits import DownstreamLimits
-from micadeck.http.h1 import Request, RequestReader
+from micadeck.http.h1 import RequestReader
+from micadeck.http.messages import Request
 from micadeck.library import Micadeck
 from micadeck.network import LoopNetwork
 from micadeck.sidecar import Sidecar
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -28,7 +28,8 @@
 
 from micadeck.http.body_stream import MAX_BUFFERED_BYTES, BodyStream, BufferBudget
 from micadeck.http.connection_limits import DownstreamLimits
-from micadeck.http.h1 import Request, RequestReader, Response, ResponseReader
+from micadeck.http.h1 import RequestReader, ResponseReader
+from micadeck.http.messages import Request, Response
 
 LARGE = 4 << 20
 ADMIN = {"operator": f"{HOST}:0"}
--- a/tests/test_consul_choices.py
+++ b/tests/test_consul_choices.py
@@ -11,7 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from micadeck.http.h1 import Headers, Response
+from micadeck.http.messages import Headers, Response
 from micadeck.membership.consul import (
     BlockingQuery,
     ConsulError,
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -33,7 +33,7 @@
 
 from micadeck.engine import EndpointEntry, EndpointUpdate
 from micadeck.http.client import ClientConnection
-from micadeck.http.h1 import Request
+from micadeck.http.messages import Request
 from micadeck.http.reuse_delay import MIN_REUSE_DELAY_US
 from micadeck.http.upstream import ConnectionPool
 from micadeck.network import LoopNetwork, parse_address
@@ -444,7 +444,7 @@
 
 
 def test_load_reports_are_parsed_and_malformed_ones_ignored() -> None:
-    from micadeck.http.h1 import Response
+    from micadeck.http.messages import Response
     from micadeck.http.upstream import load_report
 
     def read(text: bytes) -> dict[str, float] | None:
