HTTP: give up an answer that pauses only if another server would be asked in time

Callers saw 502 on unsafe requests, and 503 on safe ones, whose server paused for over 0.25 s behind the head of its answer or within the first 4 KiB of its body; the answer was sound.

Cause: each begun answer that stands still for 0.25 s was ended as malformed until it is streamed. That serves requests which another server can answer, and was asked of all.

An answer is given up only if the decisions would send another attempt and 0.5 s are left for it; else it goes on to the exchange's deadline, and one that is large, or of unknown length, is passed on with what was received.

--- a/micadeck/engine/engine.py
+++ b/micadeck/engine/engine.py
@@ -7,6 +7,7 @@
 
 from collections import deque
 from collections.abc import Callable, Mapping
+from functools import partial
 from typing import Any
 
 from micadeck.engine.final_answers import FinalAnswers
@@ -213,9 +214,16 @@
         if self._drain_deadline_us is not None:
             request.remaining_us = self._time_left(request.remaining_us)
         number = self._open.add(handler, request, self._network.now() + request.remaining_us)
+        request.has_retry = partial(self._has_retry, number)
         self._post(_arrival_event(number, request))
         return None if self._open.is_answered(number) else number
 
+    def _has_retry(self, number: int) -> bool:
+        opened = self._open.get(number)
+        if opened is None or not opened.request.can_retry():
+            return False
+        return self._policy.has_retry(self._network.now(), number)
+
     def _memory_retry_after_us(self) -> int:
         limits = self._settings.limits
         return min(limits.max_retry_after_us, _MEMORY_RETRY_AFTER_US) if limits.retry_after else 0
--- a/micadeck/engine/ports.py
+++ b/micadeck/engine/ports.py
@@ -19,6 +19,11 @@
 # Listeners
 
 
+def _has_retry() -> bool:
+    """The answer for requests that no engine has accepted."""
+    return True
+
+
 @dataclass(slots=True)
 class Request:
     """What the decisions need to know of a request.  Subclasses add what their transport needs."""
@@ -34,6 +39,8 @@
     sticky_server: str | None = field(default=None, kw_only=True)  # the only server that can serve it
     is_complete: bool = field(default=True, kw_only=True)  # False: its body is still being received
     retired_class: ServiceClass | None = field(default=None, kw_only=True)  # its class, if no longer in force
+    has_retry: Callable[[], bool] = field(default=_has_retry, kw_only=True)  # set by the engine
+    """Whether another attempt would follow if the one in flight failed now."""
 
     def can_retry(self) -> bool:
         """Whether it is buffered completely, or none of it was sent, so that it can be sent again.
--- a/micadeck/http/client.py
+++ b/micadeck/http/client.py
@@ -6,9 +6,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from enum import Enum, unique
-from typing import cast
+from typing import Protocol, cast
 
 from micadeck.http.body_stream import MAX_BUFFERED_BYTES, BodyStream, BufferBudget
 from micadeck.http.h1 import ResponseReader
@@ -16,7 +17,8 @@
 from micadeck.memory.budget import MemoryUse
 from micadeck.network import Network, Stream, Timer
 
-_ANSWER_TIMEOUT_S = 0.25  # without a byte, once an answer has started
+ANSWER_TIMEOUT_S = 0.25  # without a byte, once an answer has started, if another server may answer instead
+_ANSWER_MARGIN_S = 0.02  # before the exchange's deadline, the first bytes of a large answer are passed on
 _STREAM_STALL_S = 4.0  # the same for a streamed answer, which can't be retried at another server
 STREAM_DEADLINE_GRACE_S = 0.25  # how long after its request's deadline a streamed answer may still end
 _TIMER_TOLERANCE_S = 0.001  # a timer may fire this much early
@@ -40,6 +42,29 @@
 ExchangeCallback = Callable[[Response | Failure], None]
 
 
+class RetryOutlook(Protocol):
+    """What an exchange knows of the request behind it, if its answer stalls."""
+
+    def is_possible(self) -> bool:
+        """Return whether another server would be asked in time if this exchange failed now."""
+
+    def time_left_s(self) -> float:
+        """Return how long until the exchange's deadline."""
+
+
+class _AlwaysRetried:
+    """For exchanges whose caller repeats them by itself, as watches and health checks."""
+
+    def is_possible(self) -> bool:
+        return True
+
+    def time_left_s(self) -> float:
+        return math.inf
+
+
+_ALWAYS_RETRIED = _AlwaysRetried()
+
+
 class ClientConnection(asyncio.BufferedProtocol):
     """A connection to a server.
 
@@ -52,7 +77,7 @@
         max_bytes: int,
         on_free: Callable[[ClientConnection], None],
         on_closed: Callable[[ClientConnection], None],
-        answer_timeout_s: float = _ANSWER_TIMEOUT_S,
+        answer_timeout_s: float = ANSWER_TIMEOUT_S,
         budget: BufferBudget | None = None,
     ) -> None:
         self._network = network
@@ -77,6 +102,7 @@
         self._streamed_bytes = 0  # bytes read of the answer
         self._on_end: ExchangeCallback | None = None
         self._on_written: Callable[[], None] | None = None  # until the request is written completely
+        self._retry: RetryOutlook = _ALWAYS_RETRIED
         self._unwritten = False
         self._closed = False
         self.received_unexpected_bytes = False  # whether more than the expected answers was received
@@ -120,15 +146,18 @@
         on_written: Callable[[], None] = lambda: None,
         start_streaming: Callable[[Response], bool] | None = None,
         max_body: int | None = None,
+        retry: RetryOutlook | None = None,
     ) -> None:
         """Write a request; `on_end` is called exactly once, but never from within this call.
 
         `on_written` is called if its last byte is written.  `start_streaming` gets the head of an answer
         too large to buffer, before `on_end`, and returns whether anybody takes the body.
         `max_body` is a lower limit on the answer's body, in bytes.
+        `retry` decides whether an answer that stalls is given up; None: it is.
         """
         assert self._transport is not None and self._on_end is None
         self._on_end = on_end
+        self._retry = retry or _ALWAYS_RETRIED
         self._streamed_bytes = 0
         self._reader.expect(start_streaming, max_body)
         self._transport.write(request.encode())
@@ -280,7 +309,7 @@
             self._charge_memory(reader.cost)
             self._received_at = self._network.time()
             if self._answer_timer is None:
-                self._answer_timer = self._network.call_later(self._stall_s(), self._check_progress)
+                self._answer_timer = self._network.call_later(self._time_left_s(), self._check_progress)
 
     def _charge_memory(self, cost: int) -> None:
         """Charge the buffered part of the answer, in bytes."""
@@ -298,11 +327,23 @@
         responses don't count as a start, and a streamed answer under backpressure is not stalled.
         """
         left_s = self._time_left_s()
-        if left_s <= _TIMER_TOLERANCE_S and not self._is_paused:
-            self._fail(Failure.MALFORMED)
-        else:
+        if left_s > _TIMER_TOLERANCE_S or self._is_paused:
             wait_s = self._stall_s() if self._is_paused else left_s
             self._answer_timer = self._network.call_later(wait_s, self._check_progress)
+        elif self._reader.stream is not None or self._retry.is_possible():
+            self._fail(Failure.MALFORMED)
+        else:
+            self._keep_stalled_answer()
+
+    def _keep_stalled_answer(self) -> None:
+        """Go on waiting for an answer that no other server can give, until its exchange's deadline.
+
+        A large one is passed on with what was received, as its first bytes are due by then, not its last.
+        """
+        self._answer_timer = None
+        self._reader.stream_early()  # sets a deadline and a timer of its own
+        if self._reader.is_malformed:
+            self._fail(Failure.MALFORMED)
 
     def _time_left_s(self) -> float:
         """How long until the answer times out, in seconds."""
@@ -310,6 +351,8 @@
         left_s = self._received_at + self._stall_s() - now
         if self._response_deadline is not None and not self._is_large:
             left_s = min(left_s, self._response_deadline - now)
+        elif self._reader.stream is None:
+            left_s = min(left_s, self._retry.time_left_s() - _ANSWER_MARGIN_S)
         return left_s
 
     @property
--- a/micadeck/http/exchange.py
+++ b/micadeck/http/exchange.py
@@ -5,11 +5,13 @@
 from collections.abc import Callable
 
 from micadeck.engine import AttemptCallback
-from micadeck.http.client import STREAM_DEADLINE_GRACE_S, ClientConnection
+from micadeck.http.client import ANSWER_TIMEOUT_S, STREAM_DEADLINE_GRACE_S, ClientConnection
 from micadeck.http.messages import Request, Response
 from micadeck.http.request_validation import ValidatedRequest
 from micadeck.network import Network, Timer
 
+_MIN_RETRY_TIME_S = 2 * ANSWER_TIMEOUT_S  # left, for a retry to be worth giving up an answer that stalls
+
 
 class Exchange:
     """One request to one server: an attempt, or a health check.
@@ -79,10 +81,18 @@
         if self.request is not None:
             self.request.check_client()
 
+    def time_left_s(self) -> float:
+        """How long until the deadline, in seconds; see `RetryOutlook`."""
+        return (self.deadline_us - self._network.now()) / 1e6
+
+    def is_possible(self) -> bool:
+        """Whether another server would be asked in time; see `RetryOutlook`."""
+        has_time = self.time_left_s() >= _MIN_RETRY_TIME_S
+        return has_time and (self.request is None or self.request.has_retry())
+
     def response_deadline(self) -> float:
         """When a streamed answer has to be complete, on the network's clock."""
-        left_us = self.deadline_us - self._network.now()
-        return self._network.time() + left_us / 1e6 + STREAM_DEADLINE_GRACE_S
+        return self._network.time() + self.time_left_s() + STREAM_DEADLINE_GRACE_S
 
     def start_streaming_answer(self, response: Response) -> bool:
         """Start streaming an answer that is too large to buffer; return False if nobody takes it."""
--- a/micadeck/http/h1.py
+++ b/micadeck/http/h1.py
@@ -368,11 +368,22 @@
         Waiting for a full buffer would delay the first bytes of a slow answer.  A minimum is awaited even so:
         an answer that announces a false length can then still be retried elsewhere.
         """
-        if len(part.body) <= _STREAMING_THRESHOLD_BYTES:
-            return False
+        return len(part.body) > _STREAMING_THRESHOLD_BYTES and self._may_be_large(part)
+
+    def _may_be_large(self, part: _PartialMessage) -> bool:
+        """Whether the body is too large to buffer, or of unknown length."""
         lengths = part.values(b"content-length")
         return not lengths or int(lengths[0]) > self._max_buffered()
 
+    def stream_early(self) -> None:
+        """Stream the partial answer with less than the usual minimum, if it may be too large to buffer."""
+        part, start_streaming, make_body_stream = self._part, self._start_streaming, self._make_body_stream
+        if part is None or part.stream is not None or start_streaming is None or make_body_stream is None:
+            return
+        is_final = part.has_head and self._parser.get_status_code() == 200
+        if is_final and not self.is_malformed and self._may_be_large(part):
+            self._begin_streaming(part, start_streaming, make_body_stream)
+
     def _begin_streaming(
         self,
         part: _PartialMessage,
@@ -385,8 +396,9 @@
             return
         length = next((int(value) for value in part.values(b"content-length")), None)
         part.stream = make_body_stream(length)
-        part.stream.put(bytes(part.body))
-        part.body.clear()
+        if part.body:
+            part.stream.put(bytes(part.body))
+            part.body.clear()
         if not start_streaming(Response(status, part.headers, b"", part.stream)):
             part.stream.drop()
             self.is_malformed = True
--- a/micadeck/http/upstream.py
+++ b/micadeck/http/upstream.py
@@ -238,7 +238,7 @@
             connection.exchange(message, on_end, max_body=MAX_BUFFERED_BYTES)
         else:
             start_streaming = exchange.start_streaming_answer if exchange.start_streaming else None
-            connection.exchange(message, on_end, self._count_attempt, start_streaming)
+            connection.exchange(message, on_end, self._count_attempt, start_streaming, retry=exchange)
 
     def _count_attempt(self) -> None:
         self.attempts_written += 1
--- a/micadeck/policy/balancer.py
+++ b/micadeck/policy/balancer.py
@@ -140,6 +140,23 @@
         """Return how many of these are draining or ejected; safe on any thread."""
         return self._endpoints.listed_count() - self._endpoints.available_count()
 
+    def has_retry(self, now: int, request_id: int) -> bool:
+        """Return whether a failure of the request's attempt now would be followed by another attempt.
+
+        Changes nothing: it neither draws a random number nor uses the retry budget.
+        """
+        self._context.now = now
+        request = self._requests.get(request_id)
+        if request is None or request.is_answered:
+            return False
+        settings = self._context.settings
+        return (
+            has_attempts_left(request, settings.limits)
+            and may_run_again(request, now, settings)
+            and self._retry_budget.has_retry()
+            and self._selector.has_candidate(request)
+        )
+
     def statistics(self) -> BalancerStatistics:
         """Return the state of the balancer; safe on any thread."""
         concurrency = self._concurrency
--- a/micadeck/policy/selection.py
+++ b/micadeck/policy/selection.py
@@ -62,6 +62,12 @@
                 best, best_rank = endpoint, (in_flight, endpoint.relative_latency)
         return best
 
+    def has_candidate(self, request: OpenRequest) -> bool:
+        """Return whether there is an endpoint for a further attempt of this request."""
+        if request.sticky_endpoint is not None:
+            return not request.attempts
+        return any(self._is_eligible(endpoint, request) for endpoint in self._endpoints.ready)
+
     def _subset(self, request: OpenRequest) -> list[Endpoint]:
         """Return the first eligible endpoints by random rank, as many as the traffic can keep in use.
 
