Decisions: ask whether a retry is left without changing slow start's budget

Asking for the budget of a cold endpoint refills it, so has_retry, whose calls no trace records, could have made a replay differ.

--- a/micadeck/policy/balancer.py
+++ b/micadeck/policy/balancer.py
@@ -145,7 +145,6 @@
 
         Changes nothing: it neither draws a random number nor uses the retry budget.
         """
-        self._context.now = now
         request = self._requests.get(request_id)
         if request is None or request.is_answered:
             return False
--- a/micadeck/policy/selection.py
+++ b/micadeck/policy/selection.py
@@ -63,10 +63,16 @@
         return best
 
     def has_candidate(self, request: OpenRequest) -> bool:
-        """Return whether there is an endpoint for a further attempt of this request."""
+        """Return whether there is a warm endpoint for a further attempt of this request.
+
+        Changes nothing: asking for the budget of a cold endpoint would.
+        """
         if request.sticky_endpoint is not None:
             return not request.attempts
-        return any(self._is_eligible(endpoint, request) for endpoint in self._endpoints.ready)
+        return any(
+            endpoint.cold_since is None and self._is_untried(endpoint, request)
+            for endpoint in self._endpoints.ready
+        )
 
     def _subset(self, request: OpenRequest) -> list[Endpoint]:
         """Return the first eligible endpoints by random rank, as many as the traffic can keep in use.
@@ -102,6 +108,12 @@
         return pool or backing_off[:size]
 
     def _is_eligible(self, endpoint: Endpoint, request: OpenRequest) -> bool:
+        if not self._is_untried(endpoint, request):
+            return False
+        return endpoint.cold_since is None or self._slow_start.has_budget(endpoint, request.relative_cost)
+
+    def _is_untried(self, endpoint: Endpoint, request: OpenRequest) -> bool:
+        """Return whether the endpoint is in use, and may get a further attempt of this request."""
         if endpoint.ejected_until is not None:
             return False
         if request.attempts:
@@ -109,7 +121,7 @@
                 return False
             if any(attempt.is_pending and attempt.endpoint is endpoint for attempt in request.attempts):
                 return False  # a hedged request goes to another endpoint
-        return endpoint.cold_since is None or self._slow_start.has_budget(endpoint, request.relative_cost)
+        return True
 
     def _weights(self, pool: list[Endpoint], request: OpenRequest) -> list[float]:
         remote = self._locality.remote_weight()
