--- a/micadeck/http/downstream_connection.py
+++ b/micadeck/http/downstream_connection.py
@@ -11,24 +11,25 @@
 from micadeck.http.body_stream import BodyStream
 from micadeck.http.connection_limits import ConnectionState
 from micadeck.http.connection_ports import ConnectionRegistry, ListenerPort
+from micadeck.http.downstream_socket import DownstreamSocket
 from micadeck.http.h1 import MAX_BODY_BYTES, RequestReader
 from micadeck.http.messages import CONTINUE, LAST_CHUNK, Headers, Request, Response, encode_chunk, encode_head
 from micadeck.http.request_validation import BadRequestError
 from micadeck.memory.budget import OPEN_REQUEST_COST
-from micadeck.network import DeferredCall, Stream
+from micadeck.network import DeferredCall
 
 _MAX_PIPELINED_BYTES = 8 << 10  # read ahead while a request is open, so that an EOF after them is noticed
 _HEALTH_PATH = b"/_health"
-_MAX_UNREAD_S = 60.0  # a larger reported age of unread data is implausible and is capped
 
 
-class DownstreamConnection(asyncio.BufferedProtocol):
+class DownstreamConnection(DownstreamSocket):
     """One client connection, which serves one request at a time.
 
     Owns the socket, the request reader and the body streams in both directions.
     """
 
     def __init__(self, listener: ListenerPort, table: ConnectionRegistry) -> None:
+        super().__init__(listener.network)
         self._listener = listener
         self._table = table
         self._reader = RequestReader(MAX_BODY_BYTES, self._make_body_stream, listener.budget.max_buffered)
@@ -37,12 +38,9 @@
         self._download: Response | None = None  # the answer that is being streamed to the client
         self._is_chunked = False  # whether the streamed answer uses chunked encoding
         self._close_after_answer = False  # whether to close once the streamed answer is sent
-        self._transport: asyncio.Transport | None = None
-        self._stream: Stream | None = None
         self._request: Request | None = None  # the current request
         self._open_request: int | None = None  # its number in the engine, until it is answered
         self._is_writing_paused = False
-        self._is_reading_paused = False
         self._pipelined_bytes = 0  # received after the open request and not processed yet
         self._deferred_processing = DeferredCall(listener.network)
         self.state = ConnectionState.NEW
@@ -67,21 +65,6 @@
             and not self._stream.has_unread()
         )
 
-    @property
-    def unsent_bytes(self) -> int:
-        """Written bytes that are still in the transport's send buffer."""
-        return 0 if self._transport is None else self._transport.get_write_buffer_size()
-
-    @property
-    def has_unsent(self) -> bool:
-        """Whether the transport's send buffer holds data."""
-        return bool(self.unsent_bytes)
-
-    @property
-    def has_unread_eof(self) -> bool:
-        """Whether reading is paused and the client's EOF is waiting in the socket."""
-        return self._is_reading_paused and self._stream is not None and self._stream.has_ended()
-
     @property
     def has_complete_request(self) -> bool:
         """Whether a complete request is queued, which closing would lose."""
@@ -181,7 +164,7 @@
         self._table.move(self, ConnectionState.IDLE)
         if self._reader.has_unprocessed:
             # The next request may have been received together with this one, so don't wait for more data.
-            self.received_at = self._listener.network.time()  # reading was paused until now
+            self.received_at = self._network.time()  # reading was paused until now
             self._table.move(self, ConnectionState.READING)
             self._table.hold_memory(self, self._reader.cost)
             self._deferred_processing.schedule(self._process_and_charge)
@@ -236,7 +219,7 @@
         # uvloop's transport is not a subclass of asyncio.Transport, so isinstance can't check it.
         self._transport = cast(asyncio.Transport, transport)
         try:
-            self._stream = self._listener.network.stream(transport)
+            self._stream = self._network.stream(transport)
         except OSError:
             # Without the stream a disconnect can't be detected, so close the connection unread.
             self.state = ConnectionState.CLOSING
@@ -258,7 +241,7 @@
             self.reject(500)
 
     def _read(self, nbytes: int) -> None:
-        now = self._listener.network.time()
+        now = self._network.time()
         if self.state is ConnectionState.CLOSING:
             self.received_at = now
             return
@@ -272,18 +255,13 @@
             self._continue_upload()
         if not self._reader.has_unprocessed:
             return
-        self.received_at = self._listener.network.time()
+        self.received_at = self._network.time()
         if self._upload is None and self._is_waiting:
             # Bounds what a client may send ahead.
             self._pipelined_bytes += nbytes
             if self._pipelined_bytes >= _MAX_PIPELINED_BYTES:
                 self._pause_reading()
 
-    def _arrived_at(self, now: float) -> float:
-        """When the kernel received the bytes that were just read, as far as it reports it."""
-        assert self._stream is not None
-        return now - min(self._stream.seconds_since_received(), _MAX_UNREAD_S)
-
     def pause_writing(self) -> None:
         """Apply backpressure: the client reads slower than data is written."""
         self._is_writing_paused = True
@@ -341,14 +319,14 @@
         return BodyStream(self._listener.budget, length, self._pause_reading, self._resume_upload)
 
     def _resume_upload(self) -> None:
-        self.received_at = self._listener.network.time()  # the pause was ours, not a stall of the client
+        self.received_at = self._network.time()  # the pause was ours, not a stall of the client
         self._resume_reading()
 
     def _continue_upload(self) -> None:
         """Handle the end of the streamed request body, or an error in it."""
         upload = self._upload
         assert upload is not None
-        now = self._listener.network.time()
+        now = self._network.time()
         if upload.has_ended:
             self._upload = None
             if self._open_request is not None:
@@ -379,7 +357,7 @@
             body.drop()
 
     def _block(self, stream: BodyStream) -> None:
-        self.blocked_since = self._listener.network.time()
+        self.blocked_since = self._network.time()
         stream.block()
 
     def _write_piece(self, data: bytes) -> None:
@@ -442,16 +420,6 @@
         if self._upload is None and self.state is not ConnectionState.CLOSING:
             self._table.hold_memory(self, self._request_cost + self._reader.cost)
 
-    def _pause_reading(self) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._is_reading_paused = True
-            self._transport.pause_reading()
-
-    def _resume_reading(self) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._is_reading_paused = False
-            self._transport.resume_reading()
-
     def _start_request(self, request: Request) -> None:
         self._request = request
         stream = self._body = request.stream
@@ -482,7 +450,7 @@
         """
         assert self._transport is not None and self._stream is not None
         self._reader.release()
-        self.received_at = self._listener.network.time()
+        self.received_at = self._network.time()
         if not self.has_unsent:
             # Immediately: before a shutdown in a later loop iteration, a request could be read and dropped.
             self._stream.shutdown_write()
