HTTP: count the time of a large request although its last bytes can't be read yet

Callers saw no answer, or one seconds late, to large requests whose server stops reading or reads slowly.

UploadClock tells from the bytes in the socket and their age when a request is complete or can't be answered in time any more. Time that a server's slowness costs no longer counts against the rate that its client owes.

--- a/micadeck/http/body_stream.py
+++ b/micadeck/http/body_stream.py
@@ -61,6 +61,7 @@
         self._budget = budget
         self._pause = pause
         self._resume = resume
+        self.received = 0  # bytes that the writer has put
         self._buffered: deque[bytes] = deque()
         self._held = 0
         self._is_paused = False
@@ -73,6 +74,7 @@
 
     def put(self, data: bytes) -> None:
         """Add a piece of the body."""
+        self.received += len(data)
         if self.is_over:
             return
         if self._write is not None and not self._is_blocked and not self._buffered:
@@ -112,6 +114,11 @@
         self._is_blocked = False
         self._flush()
 
+    @property
+    def held(self) -> int:
+        """Bytes that wait for the reader."""
+        return self._held
+
     @property
     def is_paused(self) -> bool:
         """Whether the writer is paused."""
--- a/micadeck/http/connection_timeouts.py
+++ b/micadeck/http/connection_timeouts.py
@@ -31,6 +31,8 @@
         self.start()  # first, so that an exception below doesn't stop the sweeps
         now = self._network.time()
         self._close_late_heads(now)
+        for connection in self._table.in_state(ConnectionState.UPLOADING):
+            connection.check_upload_time(now)
         self._reject_late_bodies(now)
         self._abort_abandoned(now)
         self._close_idle(now)
--- a/micadeck/http/downstream_connection.py
+++ b/micadeck/http/downstream_connection.py
@@ -15,6 +15,7 @@
 from micadeck.http.h1 import MAX_BODY_BYTES, RequestReader
 from micadeck.http.messages import CONTINUE, LAST_CHUNK, Headers, Request, Response, encode_chunk, encode_head
 from micadeck.http.request_validation import BadRequestError
+from micadeck.http.upload_clock import UploadClock
 from micadeck.memory.budget import OPEN_REQUEST_COST
 from micadeck.network import DeferredCall
 
@@ -35,6 +36,8 @@
         self._reader = RequestReader(MAX_BODY_BYTES, self._make_body_stream, listener.budget.max_buffered)
         self._body: BodyStream | None = None  # streamed body of the current request, if any
         self._upload: BodyStream | None = None  # the same, until it is received completely
+        self._upload_clock: UploadClock | None = None  # until the request's time counts
+        self._upload_paused_at = 0.0
         self._download: Response | None = None  # the answer that is being streamed to the client
         self._is_chunked = False  # whether the streamed answer uses chunked encoding
         self._close_after_answer = False  # whether to close once the streamed answer is sent
@@ -316,19 +319,35 @@
     # Streamed bodies
 
     def _make_body_stream(self, length: int | None) -> BodyStream:
-        return BodyStream(self._listener.budget, length, self._pause_reading, self._resume_upload)
+        return BodyStream(self._listener.budget, length, self._pause_upload, self._resume_upload)
+
+    def _pause_upload(self) -> None:
+        self._upload_paused_at = self._network.time()
+        self._pause_reading()
 
     def _resume_upload(self) -> None:
         self.received_at = self._network.time()  # the pause was ours, not a stall of the client
+        if self.state is ConnectionState.UPLOADING:
+            self.since += self.received_at - self._upload_paused_at
         self._resume_reading()
 
+    def check_upload_time(self, now: float) -> None:
+        """Count the time of a large request whose last bytes wait to be read; see `UploadClock`."""
+        clock, stream, open_request = self._upload_clock, self._stream, self._open_request
+        if clock is None or stream is None or open_request is None:
+            return
+        left_s = clock.time_left_s(now, self._arrived_at(now), self.received_bytes, stream.unread_bytes())
+        if left_s is not None:
+            self._upload_clock = None
+            self._listener.engine.request_completed(open_request, int(left_s * 1e6))
+
     def _continue_upload(self) -> None:
         """Handle the end of the streamed request body, or an error in it."""
         upload = self._upload
         assert upload is not None
         now = self._network.time()
         if upload.has_ended:
-            self._upload = None
+            self._upload = self._upload_clock = None
             if self._open_request is not None:
                 self._table.move(self, ConnectionState.SERVING)
                 unread_us = int((now - self._arrived_at(now)) * 1e6)
@@ -347,7 +366,7 @@
 
     def _drop_upload(self) -> None:
         """Stop reading; further data is discarded."""
-        self._upload = None
+        self._upload = self._upload_clock = None
         self._drop_body()
         self._reader.release()
 
@@ -441,6 +460,7 @@
         except BadRequestError as error:
             self.reject(error.status, str(error))
         if self._upload is not None:
+            self._upload_clock = UploadClock(self._upload, self.remaining_us / 1e6)
             self._continue_upload()
 
     def _half_close(self) -> None:
--- a/micadeck/network/interfaces.py
+++ b/micadeck/network/interfaces.py
@@ -80,6 +80,9 @@
     def has_ended(self) -> bool:
         """Return whether the peer closed its side or the stream broke, even if bytes are unread."""
 
+    def unread_bytes(self) -> int:
+        """Return how many bytes wait in the socket; 0 if unknown."""
+
     def seconds_since_received(self) -> float:
         """Return how long ago the last bytes arrived in the socket, in seconds; 0 if unknown."""
 
--- a/micadeck/network/stream_socket.py
+++ b/micadeck/network/stream_socket.py
@@ -4,14 +4,17 @@
 
 import asyncio
 import contextlib
+import fcntl
 import select
 import socket
 import struct
+import termios
 from typing import Any
 
 _PEER_CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # reported even while bytes are unread
 _NO_LINGER = struct.pack("ii", 1, 0)  # the last close resets the connection and drops unacknowledged data
 _OPEN_ATTEMPTS = 5
+_INT = struct.Struct("=i")
 # Fields of Linux's struct tcp_info, which begins with eight bytes and 24 numbers of 32 bits.
 _TCP_INFO_NUMBER = struct.Struct("=I")
 _LAST_RECEIVED_OFFSET = 8 + 11 * 4  # tcpi_last_data_recv, in milliseconds
@@ -45,6 +48,15 @@
         self._poll.modify(self._socket.fileno(), select.POLLIN)
         return has_ended
 
+    def unread_bytes(self) -> int:
+        """Return how many bytes wait in the socket; 0 if unknown."""
+        try:
+            answer = fcntl.ioctl(self._socket.fileno(), termios.FIONREAD, bytes(_INT.size))
+        except OSError:
+            return 0
+        number: int = _INT.unpack(answer)[0]
+        return number
+
     def seconds_since_received(self) -> float:
         """Return the age of the last bytes received, in seconds; 0 if unknown."""
         return (self._tcp_info(_LAST_RECEIVED_OFFSET) or 0) / 1e3
--- a/micadeck/simulation/streams.py
+++ b/micadeck/simulation/streams.py
@@ -316,6 +316,9 @@
     def has_unread(self) -> bool:
         return bool(self.inbound.unread or self.inbound.has_fin or self.is_shut_down)
 
+    def unread_bytes(self) -> int:
+        return len(self.inbound.unread)
+
     def seconds_since_received(self) -> float:
         return self.wire.loop.time() - self.received_at
 
