--- a/micadeck/stand_ins/hostile/loads.py
+++ b/micadeck/stand_ins/hostile/loads.py
@@ -56,7 +56,7 @@
 
 
 def _by_clients(name: str, flood: Flood, count: int = _MANY_CLIENTS, **options: object) -> Load:
-    crowd_options = {key: options[key] for key in ("reads", "closes_after_s") if key in options}
+    crowd_options = {key: options[key] for key in ("reads", "read_rate", "closes_after_s") if key in options}
     crowd = Crowd(count, flood, **crowd_options)  # type: ignore[arg-type]
     server = options.get("server", OK_RESPONSE)
     assert isinstance(server, Flood)
@@ -84,6 +84,12 @@
 
 _TINY_HEADER = b"a:\r\n"
 _SHORT_HEADER = b"h: 12345\r\n"
+_LARGE_POST = _request(more=b"Content-Length: %d\r\n" % _LARGE_BODY_BYTES, post=True)
+_LARGE_ANSWER = Flood(
+    _OK_HEAD + b"Content-Length: %d\r\n\r\n" % _LARGE_BODY_BYTES,
+    _BLOCK,
+    _LARGE_BODY_BYTES // len(_BLOCK),
+)
 
 _TABLE = (
     # Heads of answers.
@@ -159,13 +165,23 @@
         Flood(_request(more=b"Content-Length: 60000\r\n", post=True) + b"x" * 60_000),
         server=NO_RESPONSE,
     ),
+    _by_clients(
+        "request: bodies of 32 MB, servers hang",
+        Flood(_LARGE_POST, _BLOCK, _LARGE_BODY_BYTES // len(_BLOCK)),
+        server=NO_RESPONSE,
+    ),
+    _by_clients("request: bodies of 32 MB half sent", Flood(_LARGE_POST, _BLOCK, 40)),
+    _by_clients(
+        "request: bodies of 32 MB sent slowly",
+        Flood(_LARGE_POST, _BLOCK, _LARGE_BODY_BYTES // len(_BLOCK), 0.1),
+    ),
+    _by_clients(
+        "request: 95 headers of four bytes, the head half sent",
+        _requests(more=_TINY_HEADER * 90, ends=False),
+    ),
     _by_clients(
         "request: bodies of 32 MB",
-        Flood(
-            _request(more=b"Content-Length: %d\r\n" % _LARGE_BODY_BYTES, post=True),
-            _BLOCK,
-            _LARGE_BODY_BYTES // len(_BLOCK),
-        ),
+        Flood(_LARGE_POST, _BLOCK, _LARGE_BODY_BYTES // len(_BLOCK)),
     ),
     _by_clients(
         "request: shortest ones piped, unread", Flood(b"", b"GET / HTTP/1.1\r\n\r\n", 3_000), reads=False
@@ -177,16 +193,10 @@
         server=ok_response(b"y" * 60_000),
     ),
     _by_clients(
-        "request: answers of 32 MB unread",
-        _requests(),
-        300,
-        reads=False,
-        server=Flood(
-            _OK_HEAD + b"Content-Length: %d\r\n\r\n" % _LARGE_BODY_BYTES,
-            _BLOCK,
-            _LARGE_BODY_BYTES // len(_BLOCK),
-        ),
+        "request: answers of 60 kB unread", _requests(), reads=False, server=ok_response(b"y" * 60_000)
     ),
+    _by_clients("request: answers of 32 MB unread", _requests(), 300, reads=False, server=_LARGE_ANSWER),
+    _by_clients("request: answers of 32 MB read slowly", _requests(), read_rate=40e3, server=_LARGE_ANSWER),
     _by_clients("request: clients that leave at once", _requests(), closes_after_s=0.005),
     # Discovery.
     _by_discovery("list: headers without end", Flood(_OK_HEAD, b"x-fill: 0123456789\r\n", None)),
--- a/micadeck/stand_ins/hostile/peers.py
+++ b/micadeck/stand_ins/hostile/peers.py
@@ -39,8 +39,9 @@
 class FloodConnection(asyncio.Protocol):
     """A connection that sends floods, under flow control."""
 
-    def __init__(self, *, reads: bool = True) -> None:
+    def __init__(self, *, reads: bool = True, read_rate: float | None = None) -> None:
         self._reads = reads
+        self._read_rate = read_rate
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._flood: asyncio.Task[None] | None = None
@@ -59,6 +60,16 @@
         if self._flood is not None:
             self._flood.cancel()
 
+    def data_received(self, data: bytes) -> None:
+        if self._read_rate is None or self.transport is None:
+            return
+        self.transport.pause_reading()
+        asyncio.get_running_loop().call_later(len(data) / self._read_rate, self._read_on)
+
+    def _read_on(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
     def pause_writing(self) -> None:
         self._can_write.clear()
 
@@ -144,6 +155,7 @@
     count: int
     flood: Flood
     reads: bool = True
+    read_rate: float | None = None  # bytes per second; None: as fast as they come
     closes_after_s: float | None = None  # then a client reconnects; None: it stays connected
 
 
@@ -162,7 +174,7 @@
 
     async def client() -> None:
         while True:
-            connection = FloodConnection(reads=crowd.reads)
+            connection = FloodConnection(reads=crowd.reads, read_rate=crowd.read_rate)
             try:
                 await asyncio.get_running_loop().create_connection(_factory(connection), HOST, port)
                 connection.begin(_with_ids(crowd.flood))
