--- a/micadeck/policy/selection.py
+++ b/micadeck/policy/selection.py
@@ -70,7 +70,7 @@
         if request.sticky_endpoint is not None:
             return not request.attempts
         return any(
-            endpoint.cold_since is None and self._is_untried(endpoint, request)
+            not self._slow_start.is_cold(endpoint) and self._is_untried(endpoint, request)
             for endpoint in self._endpoints.ready
         )
 
