HTTP: bound all buffered bytes in total, where they are taken on

A crowd of clients that read long answers slowly took a process over its limit: 84 MB at limits of 32, 64 and 80 MB alike, with 488 clients that read 32 MB at 40 kB/s each.

Cause: an answer that is passed on kept 64 KiB and a read of 32 KiB unsent for each client, a body stream at least 8 KiB, and what servers did not take was bounded by nothing; no total bounded them, and resident memory is sampled four times a second.

BufferBudget counts streams, unsent data on both sides and buffered messages together.

--- a/micadeck/http/body_stream.py
+++ b/micadeck/http/body_stream.py
@@ -8,37 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from micadeck.memory.budget import MemoryBudget, PressureLevel
-
-MAX_BUFFERED_BYTES = 64 << 10  # a larger body is streamed instead of buffered
-_MAX_BUFFERED_UNDER_PRESSURE_BYTES = 8 << 10
-_MAX_STREAM_BYTES = MAX_BUFFERED_BYTES  # buffered in one stream before its writer is paused
-_MIN_STREAM_BYTES = 8 << 10
-
-
-class BufferBudget:
-    """Memory limit of all body streams together, and the size up to which a body is buffered instead.
-
-    Owns the count of open streams and of their bytes.
-    """
-
-    def __init__(self, max_bytes: int, memory: MemoryBudget | None = None) -> None:
-        self.max_bytes = max_bytes
-        self.memory = memory  # accounts for buffered bodies; None: no accounting
-        self.open_streams = 0
-        self.held = 0  # bytes in all open streams
-
-    def max_buffered(self) -> int:
-        """The largest body, in bytes, that is buffered: less under memory pressure.
-
-        At most what a stream may hold, since the buffered part is moved into the stream.
-        """
-        is_short = self.memory is not None and self.memory.level >= PressureLevel.PASS_ON
-        return _MAX_BUFFERED_UNDER_PRESSURE_BYTES if is_short else self.max_per_stream()
-
-    def max_per_stream(self) -> int:
-        """How many bytes one stream may hold; shrinks with the number of streams."""
-        return max(min(_MAX_STREAM_BYTES, self.max_bytes // max(self.open_streams, 1)), _MIN_STREAM_BYTES)
+from micadeck.http.buffer_budget import BufferBudget
 
 
 class BodyStream:
--- a/micadeck/http/client.py
+++ b/micadeck/http/client.py
@@ -11,7 +11,8 @@
 from enum import Enum, unique
 from typing import Protocol, cast
 
-from micadeck.http.body_stream import MAX_BUFFERED_BYTES, BodyStream, BufferBudget
+from micadeck.http.body_stream import BodyStream
+from micadeck.http.buffer_budget import MAX_BUFFERED_BYTES, BufferBudget, UnsentData
 from micadeck.http.h1 import ResponseReader
 from micadeck.http.messages import LAST_CHUNK, Request, Response, encode_chunk
 from micadeck.memory.budget import MemoryUse
@@ -91,6 +92,7 @@
         self._budget = budget  # for streamed answers; None: answers are always buffered
         self._memory = None if budget is None else budget.memory
         self._charged_bytes = 0  # to `_memory`, for the partial answer
+        self._unsent = UnsentData(budget)
         if budget is None:
             self._reader = ResponseReader(max_bytes)
         else:
@@ -160,12 +162,12 @@
         self._retry = retry or _ALWAYS_RETRIED
         self._streamed_bytes = 0
         self._reader.expect(start_streaming, max_body)
-        self._transport.write(request.encode())
+        self._write(request.encode())
         if request.stream is not None:
             self._on_written = on_written
             self._sending = request.stream
             chunked = request.stream.length is None
-            request.stream.open(self._write_chunk if chunked else self._transport.write, self._body_ended)
+            request.stream.open(self._write_chunk if chunked else self._write, self._body_ended)
         elif self._transport.is_closing():
             self._unwritten = True  # the write failed at once; connection_lost follows
         elif self._unwritten:
@@ -234,14 +236,15 @@
     def resume_writing(self) -> None:
         """All written data is sent."""
         self._unwritten = False
+        self._unsent.clear()
         if self._sending is not None:
             self._sending.unblock()  # the request ends with its body
         else:
             self._is_written()
 
     def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002  # asyncio's signature
-        """Return the read buffer that all connections share."""
-        return _BUFFER
+        """Return the read buffer that all connections share, less of it where memory is short."""
+        return _BUFFER if self._budget is None else _BUFFER[: self._budget.read_size(len(_BUFFER))]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Process received data."""
@@ -266,13 +269,18 @@
     # Reading and writing
 
     def _write_chunk(self, data: bytes) -> None:
+        self._write(encode_chunk(data))
+
+    def _write(self, data: bytes) -> None:
         assert self._transport is not None
-        self._transport.write(encode_chunk(data))
+        self._transport.write(data)
+        if self._unwritten:
+            self._unsent.add(len(data))
 
     def _body_ended(self) -> None:
-        assert self._sending is not None and self._transport is not None
+        assert self._sending is not None
         if self._sending.length is None:
-            self._transport.write(LAST_CHUNK)
+            self._write(LAST_CHUNK)
         self._sending = None
         if not self._unwritten:
             self._is_written()
@@ -396,5 +404,6 @@
         if not self._closed:
             self._closed = True
             self._charge_memory(0)
+            self._unsent.clear()
             self._reader.release()
             self._on_closed(self)
--- a/micadeck/http/connection_ports.py
+++ b/micadeck/http/connection_ports.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from micadeck.engine import Engine
-from micadeck.http.body_stream import BufferBudget
+from micadeck.http.buffer_budget import BufferBudget
 from micadeck.http.connection_limits import ConnectionState
 from micadeck.http.messages import Request
 from micadeck.network import Network
--- a/micadeck/http/connection_table.py
+++ b/micadeck/http/connection_table.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from itertools import chain, islice
 
-from micadeck.http.body_stream import BufferBudget
+from micadeck.http.buffer_budget import BufferBudget
 from micadeck.http.connection_limits import ConnectionState, DownstreamLimits
 from micadeck.http.downstream_connection import DownstreamConnection
 from micadeck.http.idle_connections import IdleConnections
@@ -115,11 +115,6 @@
         """Number of connections with a partial request."""
         return len(self._by_state[ConnectionState.READING])
 
-    @property
-    def unsent_bytes(self) -> int:
-        """Bytes of answers in the send buffers of all connections."""
-        return sum(connection.unsent_bytes for connection in self)
-
     @property
     def flushing_answers(self) -> int:
         """Number of answers received completely and still being sent; thread-safe."""
--- a/micadeck/http/downstream_connection.py
+++ b/micadeck/http/downstream_connection.py
@@ -30,7 +30,7 @@
     """
 
     def __init__(self, listener: ListenerPort, table: ConnectionRegistry) -> None:
-        super().__init__(listener.network)
+        super().__init__(listener.network, listener.budget)
         self._listener = listener
         self._table = table
         self._reader = RequestReader(MAX_BODY_BYTES, self._make_body_stream, listener.budget.max_buffered)
@@ -43,7 +43,6 @@
         self._close_after_answer = False  # whether to close once the streamed answer is sent
         self._request: Request | None = None  # the current request
         self._open_request: int | None = None  # its number in the engine, until it is answered
-        self._is_writing_paused = False
         self._pipelined_bytes = 0  # received after the open request and not processed yet
         self._deferred_processing = DeferredCall(listener.network)
         self.state = ConnectionState.NEW
@@ -121,7 +120,7 @@
             self._close_after_answer = True  # the body is delimited by the end of the connection
         if self._close_after_answer:
             headers.append((b"connection", b"close"))
-        self._transport.write(encode_head(200, headers))
+        self._write(encode_head(200, headers))
         if self._is_writing_paused:
             self._block(stream)
         stream.open(self._write_piece, self._download_ended)
@@ -148,7 +147,7 @@
         if closing:
             headers = [*headers, (b"connection", b"close")]
         with_body = request is None or request.method != b"HEAD"
-        self._transport.write(Response(status, headers, body).encode(with_body=with_body))
+        self._write(Response(status, headers, body).encode(with_body=with_body))
         if is_rejected:
             self._half_close()
         elif closing:
@@ -186,7 +185,7 @@
             self.abort()  # a streamed answer must not continue after the half-close
             return
         if self._open_request is None and self._reader.requests:
-            self._transport.write(error_responses.refuse_all(self._reader.requests))
+            self._write(error_responses.refuse_all(self._reader.requests))
         self._table.move(self, ConnectionState.CLOSING)
         self.linger_s = self._listener.linger_s
         self._half_close()
@@ -221,6 +220,7 @@
         """Take over an accepted connection."""
         # uvloop's transport is not a subclass of asyncio.Transport, so isinstance can't check it.
         self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=0)  # so pause_writing means: data is unsent
         try:
             self._stream = self._network.stream(transport)
         except OSError:
@@ -231,8 +231,9 @@
         self._table.add(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002  # asyncio's signature
-        """Return the read buffer that all connections share."""
-        return self._listener.buffer
+        """Return the read buffer that all connections share, less of it where memory is short."""
+        buffer = self._listener.buffer
+        return buffer[: self._listener.budget.read_size(len(buffer))]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Process received data."""
@@ -276,6 +277,7 @@
     def resume_writing(self) -> None:
         """Release backpressure: the client has caught up."""
         self._is_writing_paused = False
+        self._unsent.clear()
         self.blocked_since = None
         if self._download is not None and self._download.stream is not None:
             self._download.stream.unblock()
@@ -290,6 +292,7 @@
         """Release everything that the closed connection holds."""
         self._handle_disconnect()
         self._drop_upload()
+        self._unsent.clear()
         self._table.remove(self)
         self.state = ConnectionState.CLOSING
 
@@ -380,8 +383,7 @@
         stream.block()
 
     def _write_piece(self, data: bytes) -> None:
-        assert self._transport is not None
-        self._transport.write(encode_chunk(data) if self._is_chunked else data)
+        self._write(encode_chunk(data) if self._is_chunked else data)
 
     def _download_ended(self) -> None:
         """Finish a streamed answer whose body was written."""
@@ -391,7 +393,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         if self._is_chunked:
-            self._transport.write(LAST_CHUNK)
+            self._write(LAST_CHUNK)
         if self._upload is not None:
             self._end_during_upload()
             self._half_close()
@@ -428,7 +430,7 @@
             else:
                 if self._reader.awaits_continue:
                     self._reader.awaits_continue = False
-                    self._transport.write(CONTINUE)
+                    self._write(CONTINUE)
                 self._pipelined_bytes = 0
                 self._resume_reading()
                 return
--- a/micadeck/http/downstream_socket.py
+++ b/micadeck/http/downstream_socket.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from micadeck.http.buffer_budget import BufferBudget, UnsentData
 from micadeck.network import Network, Stream
 
 _MAX_UNREAD_S = 60.0  # a larger reported age of unread data is implausible and is capped
@@ -12,8 +13,10 @@
 class DownstreamSocket(asyncio.BufferedProtocol):
     """Base class of client connections: owns the transport and whether it is read from."""
 
-    def __init__(self, network: Network) -> None:
+    def __init__(self, network: Network, budget: BufferBudget) -> None:
         self._network = network
+        self._unsent = UnsentData(budget)
+        self._is_writing_paused = False  # whether a part of the written data is unsent
         self._transport: asyncio.Transport | None = None
         self._stream: Stream | None = None
         self._is_reading_paused = False
@@ -33,6 +36,12 @@
         """Whether reading is paused and the client's EOF is waiting in the socket."""
         return self._is_reading_paused and self._stream is not None and self._stream.has_ended()
 
+    def _write(self, data: bytes) -> None:
+        assert self._transport is not None
+        self._transport.write(data)
+        if self._is_writing_paused:
+            self._unsent.add(len(data))
+
     def _pause_reading(self) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._is_reading_paused = True
--- a/micadeck/http/h1.py
+++ b/micadeck/http/h1.py
@@ -12,7 +12,8 @@
 
 import httptools
 
-from micadeck.http.body_stream import MAX_BUFFERED_BYTES, BodyStream
+from micadeck.http.body_stream import BodyStream
+from micadeck.http.buffer_budget import MAX_BUFFERED_BYTES
 from micadeck.http.framing import MAX_HEADERS, FramingCount, TooManyHeadersError
 from micadeck.http.messages import Headers, Request, Response
 from micadeck.memory.budget import HEADER_COST, REQUEST_COST
--- a/micadeck/http/listener.py
+++ b/micadeck/http/listener.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from micadeck.engine import Engine, RequestIdInUseError
-from micadeck.http.body_stream import BufferBudget
+from micadeck.http.buffer_budget import BufferBudget
 from micadeck.http.connection_limits import DownstreamLimits
 from micadeck.http.connection_table import ConnectionTable
 from micadeck.http.connection_timeouts import TimeoutSweeper
--- a/micadeck/http/upstream.py
+++ b/micadeck/http/upstream.py
@@ -8,7 +8,7 @@
 
 from micadeck.engine import AttemptCallback, EndpointUpdate
 from micadeck.engine.send_guard import SendDenial, send_denial
-from micadeck.http.body_stream import MAX_BUFFERED_BYTES, BufferBudget
+from micadeck.http.buffer_budget import MAX_BUFFERED_BYTES, BufferBudget
 from micadeck.http.client import ClientConnection, Failure
 from micadeck.http.exchange import Exchange
 from micadeck.http.h1 import MAX_BODY_BYTES
--- a/micadeck/runtime.py
+++ b/micadeck/runtime.py
@@ -10,7 +10,7 @@
 from micadeck.config import Config
 from micadeck.engine import Engine, EnginePorts
 from micadeck.graceful_shutdown import drain_engine
-from micadeck.http.body_stream import BufferBudget
+from micadeck.http.buffer_budget import BufferBudget
 from micadeck.http.upstream import ConnectionPool
 from micadeck.membership.discovery_watcher import DiscoveryWatcher, WatchOptions
 from micadeck.memory.budget import MemoryBudget
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -238,7 +238,7 @@
 
     def count_memory(self) -> None:
         """Update the memory charges that are not updated with every message."""
-        self.memory.set_charge(MemoryUse.UNSENT, self.listener.connections.unsent_bytes)
+        self.memory.set_charge(MemoryUse.UNSENT, self._runtime.buffer_budget.unsent)
         self.memory.set_charge(MemoryUse.BODIES, self._runtime.buffer_budget.held)
 
     # Called by the admin server, on its own thread
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -26,7 +26,8 @@
     until,
 )
 
-from micadeck.http.body_stream import MAX_BUFFERED_BYTES, BodyStream, BufferBudget
+from micadeck.http.body_stream import BodyStream
+from micadeck.http.buffer_budget import MAX_BUFFERED_BYTES, BufferBudget
 from micadeck.http.connection_limits import DownstreamLimits
 from micadeck.http.h1 import RequestReader, ResponseReader
 from micadeck.http.messages import Request, Response
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -13,7 +13,7 @@
 from test_bodies import CallbackServer, Serve, content, read_body
 
 from micadeck.engine.send_guard import SendDenial, send_denial
-from micadeck.http.body_stream import MAX_BUFFERED_BYTES
+from micadeck.http.buffer_budget import MAX_BUFFERED_BYTES
 from micadeck.memory.budget import PressureLevel
 
 HEDGING = {"secondCopies": True, "sendCap": 3, "mayCancel": True}
