HTTP: an idle connection to a server keeps the last answer no longer

Seen as 35 MB that no account named, after 488 clients had been given 60 kB each: a process with 64 MB refused every request for want of memory.

The new test fails before.

--- a/micadeck/http/client.py
+++ b/micadeck/http/client.py
@@ -205,6 +205,7 @@
         # attempt was given up.
         drops = self._on_end is not None
         self._on_end = self._on_written = None
+        self._release_exchange()
         self._stop_timer()
         sending, self._sending = self._sending, None
         if sending is not None:
@@ -380,6 +381,7 @@
         self._stop_timer()
         self._charge_memory(0)
         on_end, self._on_end = self._on_end, None
+        self._release_exchange()
         result: Response | Failure = response
         is_written = not self.is_unwritten
         if response.status == 200 and not is_written:
@@ -394,6 +396,11 @@
         if on_end is not None:
             on_end(result)
 
+    def _release_exchange(self) -> None:
+        """Keep the request and its answer no longer."""
+        self._reader.forget_response()
+        self._retry = _ALWAYS_RETRIED
+
     def _fail(self, failure: Failure) -> None:
         on_end = self._on_end
         self.close()
--- a/micadeck/http/h1.py
+++ b/micadeck/http/h1.py
@@ -296,12 +296,17 @@
         """
         self._start_streaming = start_streaming
         self._response_limit = self._max_body if max_body is None else min(max_body, self._max_body)
-        self.response: Response | None = None  # set once it is complete
+        self.response: Response | None = None  # set once it is complete, until `forget_response`
+        self._is_answered = False  # whether it was complete
         self.is_malformed = False
         self._part: _PartialMessage | None = None
         self._interim = 0
         self._ends_at_close = False  # whether the end of the connection ends the answer
 
+    def forget_response(self) -> None:
+        """Keep the complete answer no longer: an idle connection must not hold its memory."""
+        self.response = None
+
     def feed(self, data: bytes) -> None:
         """Parse received data."""
         try:
@@ -310,7 +315,7 @@
             self.is_malformed = True
         if not self._framing.read(len(data)):
             self.is_malformed = True
-        if self.response is not None:
+        if self._is_answered:
             self.has_extra_bytes = self.has_extra_bytes or self.is_malformed
             self.is_malformed = False  # the answer itself was complete by then
 
@@ -318,7 +323,7 @@
 
     def on_message_begin(self) -> None:
         """Start a message."""
-        self.has_extra_bytes = self.response is not None
+        self.has_extra_bytes = self._is_answered
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
@@ -340,12 +345,12 @@
             bounded = bounded or (bool(lengths) and int(lengths[0]) <= self._response_limit)
             if not bounded and not lengths and not codings:
                 self._ends_at_close = bounded = self._ends_with_connection()
-        if not bounded and self.response is None:
+        if not bounded and not self._is_answered:
             self.is_malformed = True
 
     def on_body(self, body: bytes) -> None:
         """Buffer or stream a part of the body."""
-        if self._part is None or self.is_malformed or self.response is not None:
+        if self._part is None or self.is_malformed or self._is_answered:
             return
         part = self._part
         self._framing.has_progressed = True
@@ -429,7 +434,7 @@
 
     def end(self) -> None:
         """Handle an orderly end of the connection, which may complete the answer."""
-        if self._ends_at_close and self._part is not None and not self.is_malformed and self.response is None:
+        if self._ends_at_close and self._part is not None and not self.is_malformed and not self._is_answered:
             self.on_message_complete()
             self.keep_alive = False
 
@@ -438,8 +443,9 @@
         part, self._part = self._part, None
         self._framing.has_progressed = True
         status = self._parser.get_status_code()
-        if part is None or self.is_malformed or self.response is not None or status < 200:
+        if part is None or self.is_malformed or self._is_answered or status < 200:
             return
         self.response = Response(status, part.headers, bytes(part.body), part.stream)
+        self._is_answered = True
         self._start_streaming = None  # an idle connection must not keep the request's objects alive
         self.keep_alive = self._parser.should_keep_alive()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gc
 import socket
 import threading
 import time
@@ -33,9 +34,10 @@
 
 from micadeck.engine import EndpointEntry, EndpointUpdate
 from micadeck.http.client import ClientConnection
-from micadeck.http.messages import Request
+from micadeck.http.exchange import Exchange
+from micadeck.http.messages import Request, Response
 from micadeck.http.reuse_delay import MIN_REUSE_DELAY_US
-from micadeck.http.upstream import ConnectionPool
+from micadeck.http.upstream import ConnectionPool, load_report
 from micadeck.network import LoopNetwork, parse_address
 from micadeck.policy.events import ListedServer, ServerState
 from micadeck.policy.outcomes import Outcome
@@ -444,9 +446,6 @@
 
 
 def test_load_reports_are_parsed_and_malformed_ones_ignored() -> None:
-    from micadeck.http.messages import Response
-    from micadeck.http.upstream import load_report
-
     def read(text: bytes) -> dict[str, float] | None:
         return load_report(Response(200, [(b"server-load", text)], b""), ("qps", "util"))
 
@@ -491,3 +490,12 @@
             return received_bytes
 
     assert (len(run_async(run)) >= 60_000) is arrives_complete
+
+
+@async_test
+async def test_an_idle_connection_holds_neither_its_last_request_nor_the_answer() -> None:
+    async with run_harness(reply(b"a" * 50_000)) as harness:
+        assert (await harness.exchange("lodge", body=b"b" * 50_000)).status == 200
+        assert harness.servers[0].connections == 1 and not harness.servers[0].closed
+        gc.collect()
+        assert not [each for each in gc.get_objects() if isinstance(each, (Exchange, Response))]
