Test of idle connections: leave out what other tests of the process hold

The check counted every live exchange of the process: in a worker that had run other tests two of five ways failed, by those tests' objects. It compares with what was live before the request now, and is as strict on its own. It fails on the code before the fix.

--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -492,10 +492,16 @@
     assert (len(run_async(run)) >= 60_000) is arrives_complete
 
 
+def live_exchanges_and_responses() -> list[Exchange | Response]:
+    gc.collect()
+    return [each for each in gc.get_objects() if isinstance(each, (Exchange, Response))]
+
+
 @async_test
 async def test_an_idle_connection_holds_neither_its_last_request_nor_the_answer() -> None:
     async with run_harness(reply(b"a" * 50_000)) as harness:
+        of_other_tests = live_exchanges_and_responses()
         assert (await harness.exchange("lodge", body=b"b" * 50_000)).status == 200
         assert harness.servers[0].connections == 1 and not harness.servers[0].closed
-        gc.collect()
-        assert not [each for each in gc.get_objects() if isinstance(each, (Exchange, Response))]
+        live = live_exchanges_and_responses()
+        assert [each for each in live if not any(each is other for other in of_other_tests)] == []
