Memory: reserve each connection's minimum, and shed nothing for memory that nobody holds

Two causes were left of the crowds that pass a limit of 32 MB or leave a process that refuses everyone.

The minimum of each connection came on top of the bound on buffers: bodies of 32 MB half sent took 33 to 35 MB.

Resident memory that a trim can't release counted against new requests although nothing was charged: 0 of 10 were served after four of the loads. It becomes the baseline of the levels, up to 0.75 of the limit, until it falls.

--- a/micadeck/http/buffer_budget.py
+++ b/micadeck/http/buffer_budget.py
@@ -1,7 +1,7 @@
 """The bound on all buffered bytes of clients and servers together; no I/O.
 
-It holds where bytes are taken on: each buffer may take a part of what is left, so that all of them together
-approach the bound and pass it by the minimum of each connection at most.
+It holds where bytes are taken on: a minimum is reserved for each connection that may be open, and beyond it
+each buffer may take a part of what is left, so that all of them together approach the bound.
 """
 
 from __future__ import annotations
@@ -10,7 +10,8 @@
 
 MAX_BUFFERED_BYTES = 64 << 10  # a larger body is streamed instead of buffered
 _MAX_BUFFERED_UNDER_PRESSURE_BYTES = 8 << 10
-_MIN_BYTES = 4 << 10  # of one buffer, and of one read, however little is left
+_MIN_BYTES = 2 << 10  # of one buffer, and of one read, however little is left
+_MAX_RESERVED_FRACTION = 0.5  # of the bound, for these minimums
 _FREE_FRACTION = 8  # one buffer, or one read, takes this part of what is left
 
 
@@ -22,6 +23,7 @@
 
     def __init__(self, max_bytes: int, memory: MemoryBudget | None = None) -> None:
         self.max_bytes = max_bytes
+        self.max_connections = 0  # of clients; set by the runtime
         self.memory = memory  # accounts for buffered messages, which count too; None: no accounting
         self.open_streams = 0
         self.held = 0  # bytes in all open streams
@@ -31,7 +33,8 @@
     def _share(self) -> int:
         """How many bytes one more buffer may take."""
         messages = 0 if self.memory is None else self.memory.pressure_bytes
-        return (self.max_bytes - self.held - self.unsent - messages) // _FREE_FRACTION
+        reserved = min(2 * _MIN_BYTES * self.max_connections, int(_MAX_RESERVED_FRACTION * self.max_bytes))
+        return (self.max_bytes - reserved - self.held - self.unsent - messages) // _FREE_FRACTION
 
     def max_buffered(self) -> int:
         """The largest body, in bytes, that is buffered: less under memory pressure.
--- a/micadeck/memory/budget.py
+++ b/micadeck/memory/budget.py
@@ -43,7 +43,8 @@
 
 
 ENTER_AT_CHARGED = (0.0, 0.08, 0.12, 0.15, 0.18)  # fraction of the limit, by level
-ENTER_AT_RESIDENT = (0.0, 0.45, 0.60, 0.70, 0.80)  # fraction of the limit less the idle baseline
+ENTER_AT_RESIDENT = (0.0, 0.45, 0.60, 0.70, 0.80)  # fraction of the limit less the baseline
+MAX_BASELINE_FRACTION = 0.75  # of the limit
 LEAVE_FACTOR = 0.8  # of the threshold at which the level is entered
 _USES_RAISING_LEVEL = frozenset((MemoryUse.REQUESTS, MemoryUse.ANSWERS))
 
@@ -68,6 +69,7 @@
         self.peak_resident_bytes = 0
         self.loop_lag_s = 0.0  # how late the event loop was at the last sample
         self._idle_bytes = 0
+        self._baseline_bytes = 0  # resident memory that does not count towards a level
         self.limit_bytes = 0
         self.set_limit(limit_bytes)
 
@@ -90,13 +92,25 @@
 
     def set_idle_baseline(self, resident_bytes: int) -> None:
         """Record the resident memory of the idle process."""
-        self._idle_bytes = self._resident_bytes = resident_bytes
+        self._idle_bytes = self._baseline_bytes = self._resident_bytes = resident_bytes
+        self._update_level()
+
+    def raise_baseline(self) -> None:
+        """Record that the memory which nothing is charged for can't be released.
+
+        It is free within the process, or in use whatever becomes of requests: new ones reuse it, and
+        rejecting them would not reduce it.
+        """
+        uncharged_bytes = self._resident_bytes - sum(self.charged_bytes.values())
+        highest_bytes = int(MAX_BASELINE_FRACTION * self.limit_bytes)
+        self._baseline_bytes = max(self._idle_bytes, min(uncharged_bytes, highest_bytes))
         self._update_level()
 
     def update_resident(self, resident_bytes: int) -> None:
         """Record a sample of the resident memory; 0 where it is unknown."""
         self._resident_bytes = resident_bytes
         self.peak_resident_bytes = max(self.peak_resident_bytes, resident_bytes)
+        self._baseline_bytes = max(self._idle_bytes, min(self._baseline_bytes, resident_bytes))
         self._update_level()
 
     @property
@@ -122,8 +136,8 @@
         factor = LEAVE_FACTOR if level <= self.level else 1.0
         if self._pressure_bytes >= factor * self._charged_threshold(level):
             return True
-        available_bytes = max(self.limit_bytes - self._idle_bytes, 0)
-        used_bytes = self._resident_bytes - self._idle_bytes
+        available_bytes = max(self.limit_bytes - self._baseline_bytes, 0)
+        used_bytes = self._resident_bytes - self._baseline_bytes
         return used_bytes > factor * available_bytes * ENTER_AT_RESIDENT[level]
 
     def _update_level(self) -> None:
--- a/micadeck/memory/monitor.py
+++ b/micadeck/memory/monitor.py
@@ -96,6 +96,8 @@
         resident_bytes = anonymous_bytes()
         self._budget.update_resident(resident_bytes)
         is_effective = before_bytes - resident_bytes >= _EFFECTIVE_TRIM_BYTES
+        if not is_effective:
+            self._budget.raise_baseline()
         interval_s = _TRIM_INTERVAL_S if is_effective else 2.0 * self._trim_interval_s
         self._trim_interval_s = min(interval_s, _MAX_TRIM_INTERVAL_S)
         return resident_bytes
--- a/micadeck/runtime.py
+++ b/micadeck/runtime.py
@@ -243,6 +243,7 @@
         self.upstream.max_connections = descriptors - self.max_client_connections
         memory_mb = divide_limit(self.config.memory_mb, self._sibling_count)
         self.buffer_budget.max_bytes = memory_mb * _BUFFER_BYTES_PER_MB
+        self.buffer_budget.max_connections = self.max_client_connections
         self.memory.set_limit(memory_mb * MB)
 
     async def drain(self, timeout_s: float) -> None:
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -280,3 +280,26 @@
         runtime.close()
 
     run_async(work)
+
+
+def test_memory_that_can_not_be_released_does_not_shed_requests() -> None:
+    """Guards against refusing every request after a load, for memory that nobody holds."""
+    budget = MemoryBudget(100 * MB)
+
+    def level() -> PressureLevel:
+        return budget.level
+
+    budget.set_idle_baseline(20 * MB)
+    budget.update_resident(75 * MB)
+    assert level() is PressureLevel.SHED
+    budget.raise_baseline()
+    assert level() is PressureLevel.NORMAL
+    budget.charge(MemoryUse.UNSENT, 20 * MB)
+    budget.update_resident(96 * MB)
+    assert level() is PressureLevel.CLOSE_IDLE
+    budget.raise_baseline()  # what is charged is in use
+    assert level() is PressureLevel.CLOSE_IDLE
+    budget.charge(MemoryUse.UNSENT, -20 * MB)
+    budget.update_resident(20 * MB)  # it was released after all
+    budget.update_resident(75 * MB)
+    assert level() is PressureLevel.SHED
