Engine: keep the id of a request that may have run and got no answer

An unsafe request whose client left, or that failed after a server may have run it, ran again when its id came again, at the same process or at the one that takes over.

Cause: an id was in use until its request was answered or its client gone, whatever its attempts did. Served and refused requests are as before.

--- a/micadeck/engine/engine.py
+++ b/micadeck/engine/engine.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Container, Mapping
 from functools import partial
 from typing import Any
 
@@ -60,7 +60,7 @@
 
 
 class RequestIdInUseError(OperatorError):
-    """A request has the id of another open request."""
+    """A request has the id of another request that is open or may have run without an answer."""
 
     advice = "Have clients give every open request a unique id."
 
@@ -92,6 +92,7 @@
         shed_requests: How many requests were refused for lack of memory.
         on_endpoint_update: Called with every endpoint update.
         has_list: Whether the source reported a list since the start.
+        foreign_ids: Ids that were in use in processes that have exited; writes with these are rejected.
         memory: Memory budget whose pressure level sheds new requests; None: none are shed.
     """
 
@@ -117,9 +118,10 @@
         self.on_endpoint_update: Callable[[EndpointUpdate], None] | None = None
         self.has_list = False
         self.memory: MemoryBudget | None = None
+        self.foreign_ids: Container[bytes] = ()
         self._events: deque[Event] = deque()
         self._is_handling = False
-        self._open = OpenRequests()
+        self._open = OpenRequests(ports.network.now)
         self._answers = FinalAnswers(ports.network, ports.transport, self._open, self.invariants)
         self.outcomes = self._answers.outcomes
         self._drain_deadline_us: int | None = None  # latest time of final answers; None: not draining
@@ -149,7 +151,7 @@
         self._post(SettingsChanged(settings))
 
     def share_request_ids(self, ids: set[bytes]) -> None:
-        """Store the ids of unanswered requests in this set, which other processes share.
+        """Store the ids of unanswered requests in this set, which other processes share, and those kept.
 
         An id in it is in use.
         """
@@ -169,7 +171,7 @@
     @property
     def unanswered_requests(self) -> int:
         """Number of requests without their final answer."""
-        return len(self._open.unanswered_ids)
+        return self._open.unanswered
 
     @property
     def in_progress(self) -> int:
@@ -197,10 +199,11 @@
             The request's number; None if it was answered within this call.
 
         Raises:
-            RequestIdInUseError: Another open request has this id, by which servers distinguish requests.  The
-                handler gets no answer.
+            RequestIdInUseError: Another open request has this id, by which servers distinguish requests, or
+                one that may have run for a client that has disconnected.  The handler gets no answer.
         """
-        if request.request_id in self._open.unanswered_ids:
+        request_id = request.request_id
+        if request_id in self._open.ids_in_use or (request.write and request_id in self.foreign_ids):
             raise RequestIdInUseError(request.request_id.decode("latin-1"))
         max_open = self._settings.limits.max_open
         is_full = max_open is not None and self.unanswered_requests >= max_open
@@ -245,7 +248,7 @@
 
     def client_disconnected(self, request: int) -> None:
         """Record that the client disconnected; its handler gets no answer any more."""
-        if self._answers.mark_answered(request) is None:
+        if self._answers.mark_answered(request, keeps_id=True) is None:
             return
         self._post(ClientDisconnected(request))
         self._open.remove_if_over(request)
--- a/micadeck/engine/final_answers.py
+++ b/micadeck/engine/final_answers.py
@@ -43,7 +43,7 @@
     def refuse(self, number: int, retry_after_us: int) -> None:
         """Refuse an open request, unless it is answered."""
         opened = self._open.get(number)
-        handler = self.mark_answered(number)
+        handler = self.mark_answered(number, keeps_id=False)
         if opened is not None and handler is not None:
             self.reject(opened.request, handler, retry_after_us)
         self._open.remove_if_over(number)
@@ -51,7 +51,7 @@
     def fail(self, number: int, cause: FailureCause) -> None:
         """Fail an open request, unless it is answered."""
         opened = self._open.get(number)
-        handler = self.mark_answered(number)
+        handler = self.mark_answered(number, keeps_id=True)
         if opened is not None and handler is not None:
             self.outcomes[opened.request.service_class].failed += 1
             handler.failed(cause, opened.may_have_run or opened.in_flight > 0)
@@ -59,18 +59,23 @@
 
     def serve(self, number: int, opened: OpenRequest, response: Any) -> None:
         """Deliver a server's answer, unless the request is answered."""
-        handler = self.mark_answered(number)
+        handler = self.mark_answered(number, keeps_id=False)
         if handler is not None:
             self.outcomes[opened.request.service_class].served += 1
             handler.served(response)
 
-    def mark_answered(self, number: int) -> ResponseHandler | None:
-        """Mark a request as answered; return its handler, None if it was answered before."""
+    def mark_answered(self, number: int, *, keeps_id: bool) -> ResponseHandler | None:
+        """Mark a request as answered; return its handler, None if it was answered before.
+
+        Args:
+            number: The number of the request.
+            keeps_id: Whether its id stays in use if a server may have run it.
+        """
         opened = self._open.get(number)
         if opened is None or opened.handler is None:
             return None
         self._check_in_time(opened)
-        handler = self._open.take_handler(opened)
+        handler = self._open.take_handler(opened, keeps_id=keeps_id)
         if opened.in_flight:
             # Saves servers useless work where cancelling sent attempts is not permitted.
             for attempt in opened.attempts:
--- a/micadeck/engine/open_requests.py
+++ b/micadeck/engine/open_requests.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from micadeck.engine.ports import Request, ResponseHandler
+from micadeck.engine.recent_ids import RecentIds
 from micadeck.policy.outcomes import Outcome
 
 
@@ -17,6 +19,8 @@
         deadline_us: Its deadline, on the network's clock.
         attempts: The transport's handles of its attempts, in the order they were sent.
         in_flight: How many of these have not ended.
+        is_id_kept: Whether the client got no answer: its id stays in use while an attempt is in flight,
+            and after it if one may have run.
         last_outcome: Outcome of the attempt that ended last.
         may_have_run: Whether a server may have started on it, by the attempts that have ended.
         sent: For each attempt, its server and when it was sent, in microseconds.
@@ -32,6 +36,7 @@
         "deadline_us",
         "handler",
         "in_flight",
+        "is_id_kept",
         "last_outcome",
         "may_have_run",
         "request",
@@ -46,6 +51,7 @@
         self.deadline_us = deadline_us
         self.attempts: list[Any] = []
         self.in_flight = 0
+        self.is_id_kept = False
         self.last_outcome: Outcome | None = None
         self.may_have_run = False
         self.sent: list[tuple[str, int]] = []
@@ -55,12 +61,20 @@
 
 
 class OpenRequests(dict[int, OpenRequest]):
-    """The open requests by number; owns their numbering and the ids of the unanswered ones."""
+    """The open requests by number; owns their numbering and the ids in use.
 
-    def __init__(self) -> None:
-        """Start with no request."""
+    Attributes:
+        ids_in_use: Ids of unanswered requests, and of those that may have run without an answer.
+        unanswered: How many requests have no final answer.
+    """
+
+    def __init__(self, now_us: Callable[[], int]) -> None:
+        """Start with no request, on this clock."""
         super().__init__()
-        self.unanswered_ids: set[bytes] = set()
+        self.ids_in_use: set[bytes] = set()
+        self.unanswered = 0
+        self._now_us = now_us
+        self._recent_ids = RecentIds()
         self._next_number = 1
 
     def add(self, handler: ResponseHandler, request: Request, deadline_us: int) -> int:
@@ -68,7 +82,8 @@
         number = self._next_number
         self._next_number += 1
         self[number] = OpenRequest(handler, request, deadline_us)
-        self.unanswered_ids.add(request.request_id)
+        self.ids_in_use.add(request.request_id)
+        self.unanswered += 1
         return number
 
     def is_answered(self, number: int) -> bool:
@@ -81,11 +96,19 @@
         opened = self.get(number)
         return opened is None or opened.handler is None or opened.answering is not None
 
-    def take_handler(self, opened: OpenRequest) -> ResponseHandler | None:
-        """Mark a request as answered; return its handler, None if it was answered before."""
+    def take_handler(self, opened: OpenRequest, *, keeps_id: bool) -> ResponseHandler | None:
+        """Mark a request as answered; return its handler, None if it was answered before.
+
+        Args:
+            opened: The request.
+            keeps_id: Whether its client gets no answer of a server, and no promise that a retry is harmless.
+        """
         handler, opened.handler = opened.handler, None
         if handler is not None:
-            self.unanswered_ids.discard(opened.request.request_id)
+            self.unanswered -= 1
+            opened.is_id_kept = keeps_id
+            if not keeps_id:
+                self.ids_in_use.discard(opened.request.request_id)
         return handler
 
     def remove_if_over(self, number: int) -> None:
@@ -93,9 +116,20 @@
         opened = self.get(number)
         if opened is not None and opened.handler is None and opened.in_flight == 0:
             del self[number]
+            if opened.is_id_kept:
+                self._release_id(opened)
+
+    def _release_id(self, opened: OpenRequest) -> None:
+        """Forget the id of a request whose attempts have ended, or remember it if it may have run."""
+        request = opened.request
+        forgotten = [request.request_id]
+        if opened.may_have_run and request.write:
+            forgotten = self._recent_ids.add(self._now_us(), request.request_id)
+        for request_id in forgotten:
+            self.ids_in_use.discard(request_id)
 
     def store_ids_in(self, ids: set[bytes]) -> None:
-        """Store the ids of unanswered requests in this set, the present ones too."""
-        for request_id in self.unanswered_ids:
+        """Store the ids in use in this set, the present ones too."""
+        for request_id in self.ids_in_use:
             ids.add(request_id)
-        self.unanswered_ids = ids
+        self.ids_in_use = ids
--- a/micadeck/operations/__init__.py
+++ b/micadeck/operations/__init__.py
@@ -9,12 +9,13 @@
 from micadeck.operations.admin_thread import AdminThread
 from micadeck.operations.hot_restart import HotRestart, divide_limit
 from micadeck.operations.lifecycle import ConnectionsToClose, Lifecycle, Phase
-from micadeck.operations.request_id_registry import RequestIdRegistry
+from micadeck.operations.request_id_registry import DepartedIds, RequestIdRegistry
 from micadeck.operations.statsd_report import RuntimeStatistics, format_report
 
 __all__ = [
     "AdminThread",
     "ConnectionsToClose",
+    "DepartedIds",
     "HotRestart",
     "Lifecycle",
     "Phase",
--- a/micadeck/operations/hot_restart.py
+++ b/micadeck/operations/hot_restart.py
@@ -49,8 +49,13 @@
         """How many other processes of this sidecar were running at the last refresh."""
         return len(self._siblings)
 
+    @property
+    def siblings(self) -> list[Path]:
+        """The files of the processes that were running at the last refresh."""
+        return self._siblings
+
     def open_registry(self) -> RequestIdRegistry | None:
-        """Return a registry of open requests that is shared with the siblings; None if that fails."""
+        """Return a registry of the ids in use that is shared with the siblings; None if that fails."""
         try:
             return RequestIdRegistry(self._fd, self._siblings)
         except OSError:
--- a/micadeck/operations/request_id_registry.py
+++ b/micadeck/operations/request_id_registry.py
@@ -1,4 +1,4 @@
-"""Ids of open requests, shared with sibling processes through files.
+"""Ids in use, shared with sibling processes through files.
 
 During a hot restart, a client may resend a request to the process that does not have it.  Each process keeps
 a hash table in the file that it holds a lock on (`hot_restart`) and reads its siblings'.  Only the owner
@@ -16,7 +16,7 @@
 
 import contextlib
 import os
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
 from hashlib import blake2b
 from pathlib import Path
 
@@ -50,10 +50,10 @@
         self._offsets: dict[bytes, int] = {}  # by id, the file offset of its slot
         self._table = bytearray(_BUCKETS * _BUCKET_BYTES)  # the file's content after the header
         os.pwrite(own_fd, _FILE_HEADER + self._table, 0)
-        self._sibling_fds: list[int] = []
+        self._sibling_fds: dict[Path, int] = {}
         for path in sibling_paths:
             with contextlib.suppress(OSError):  # the sibling has exited in the meantime
-                self._sibling_fds.append(os.open(path, os.O_RDONLY | os.O_CLOEXEC))
+                self._sibling_fds[path] = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
 
     def add(self, request_id: bytes) -> None:
         """Add an id, visible to siblings if its bucket has a free slot."""
@@ -78,7 +78,17 @@
         """Return whether this process or a sibling has this request open."""
         if super().__contains__(request_id):
             return True
-        return isinstance(request_id, bytes) and any(_contains(fd, request_id) for fd in self._sibling_fds)
+        fds = self._sibling_fds.values()
+        return isinstance(request_id, bytes) and any(_contains(fd, request_id) for fd in fds)
+
+    def tables_of_departed(self, running: Sequence[Path]) -> list[bytes]:
+        """Return the last tables of the siblings that are not among the running ones."""
+        tables = []
+        for path, fd in self._sibling_fds.items():
+            if path not in running:
+                with contextlib.suppress(OSError):
+                    tables.append(os.pread(fd, len(_FILE_HEADER) + _BUCKETS * _BUCKET_BYTES, 0))
+        return tables
 
     def close(self, *, keep_file: bool) -> None:
         """Close the siblings' files.
@@ -88,7 +98,7 @@
                 the content; else it is truncated.
         """
         while self._sibling_fds:
-            os.close(self._sibling_fds.pop())
+            os.close(self._sibling_fds.popitem()[1])
         if keep_file:
             return
         with contextlib.suppress(OSError):  # siblings can't read it either
@@ -115,13 +125,44 @@
     return len(_FILE_HEADER) + bucket * _BUCKET_BYTES, fingerprint
 
 
+class DepartedIds:
+    """The ids that were in use in siblings which have exited, for some time after that.
+
+    A client that left without an answer may send its request again to the process that took over.
+    """
+
+    def __init__(self, clock: Callable[[], float], span_s: float) -> None:
+        """Start without ids; those of a sibling are kept for `span_s` by this clock."""
+        self._clock = clock
+        self._span_s = span_s
+        self._tables: list[tuple[float, bytes]] = []  # with the time when each is forgotten
+
+    def add(self, tables: Iterable[bytes]) -> None:
+        """Keep the last tables of siblings that have exited."""
+        forget_at = self._clock() + self._span_s
+        self._tables += [(forget_at, table) for table in tables if table.startswith(_FILE_HEADER)]
+
+    def __contains__(self, request_id: object) -> bool:
+        """Return whether a sibling that has exited had this request open, or knew that it may have run."""
+        if not self._tables or not isinstance(request_id, bytes):
+            return False
+        now = self._clock()
+        self._tables = [each for each in self._tables if each[0] > now]
+        offset, fingerprint = _locate(request_id)
+        buckets = (table[offset : offset + _BUCKET_BYTES] for _, table in self._tables)
+        return any(_has_slot(bucket, fingerprint) for bucket in buckets)
+
+
 def _contains(fd: int, request_id: bytes) -> bool:
     """Return whether a sibling's file contains this id."""
     offset, fingerprint = _locate(request_id)
     try:
         if os.pread(fd, len(_FILE_HEADER), 0) != _FILE_HEADER:
             return False
-        bucket = os.pread(fd, _BUCKET_BYTES, offset)
+        return _has_slot(os.pread(fd, _BUCKET_BYTES, offset), fingerprint)
     except OSError:
         return False
+
+
+def _has_slot(bucket: bytes, fingerprint: bytes) -> bool:
     return any(bucket[at : at + _SLOT_BYTES] == fingerprint for at in range(0, len(bucket), _SLOT_BYTES))
--- a/micadeck/sidecar.py
+++ b/micadeck/sidecar.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from micadeck.config import Config
+from micadeck.engine.recent_ids import RECENT_SPAN_US
 from micadeck.errors import OperatorError
 from micadeck.graceful_shutdown import ConnectionDrain, GracefulShutdown
 from micadeck.http.connection_limits import DownstreamLimits
@@ -19,6 +20,7 @@
 from micadeck.network import Address, Network, format_address
 from micadeck.operations import (
     AdminThread,
+    DepartedIds,
     HotRestart,
     Lifecycle,
     Phase,
@@ -76,6 +78,8 @@
         self._request_ids: RequestIdRegistry | None = None  # only while there are siblings
         runtime = self._runtime = Runtime(config, network, log)
         engine = self._engine = runtime.engine
+        self._departed_ids = DepartedIds(network.time, RECENT_SPAN_US / 1e6)
+        engine.foreign_ids = self._departed_ids
         if runtime.sources is not None:
             # Thousands of servers arrive after the start: a collection that visits all of them takes 50 ms.
             runtime.sources.on_partial_list = gc.freeze
@@ -223,6 +227,7 @@
         request_ids = self._hot_restart.open_registry() if self._hot_restart.sibling_count else None
         self._engine.share_request_ids(set() if request_ids is None else request_ids)
         if self._request_ids is not None:
+            self._departed_ids.add(self._request_ids.tables_of_departed(self._hot_restart.siblings))
             self._request_ids.close(keep_file=request_ids is not None)
         self._request_ids = request_ids
         self._runtime.share_limits(self._hot_restart.sibling_count)
@@ -323,7 +328,7 @@
         if self._sibling_watch is not None:
             self._sibling_watch.cancel()
         if self._request_ids is not None:
-            self._request_ids.close(keep_file=False)
+            self._request_ids.close(keep_file=True)  # the process that takes over reads it to the end
         if self._hot_restart is not None:
             self._hot_restart.unregister()
         if self.admin is not None:
