--- a/micadeck/http/listener.py
+++ b/micadeck/http/listener.py
@@ -95,6 +95,7 @@
         client.remaining_us = validated.remaining_us
         if not validated.is_complete:
             # The timeout counts from the last byte, so the time to receive the body is added.
+            validated.client_wait_us = validated.remaining_us
             validated.remaining_us += self._upload_allowance_us(request)
         try:
             return self.engine.submit(validated, client)
--- a/micadeck/http/request_validation.py
+++ b/micadeck/http/request_validation.py
@@ -44,6 +44,7 @@
     headers: Headers  # as forwarded to servers, without `request-timeout`
     body: bytes
     stream: BodyStream | None = None  # the body, if it is streamed
+    client_wait_us: int | None = None  # what the client waits after the last byte, if that is not received
     start_streaming: Callable[[Response], bool] | None = None  # takes an answer that is too large to buffer
     check_client_disconnect: Callable[[], None] | None = None  # of the client's connection
 
@@ -57,7 +58,9 @@
         return self.stream is None or not self.stream.was_opened
 
     def message(self, left_us: int) -> Request:
-        """The request as sent to a server, with the remaining time as its timeout."""
+        """The request as sent to a server, with the time that the client has left as its timeout."""
+        if self.client_wait_us is not None and not self.is_complete:
+            left_us = min(left_us, self.client_wait_us)
         return Request(
             self.method,
             self.target,
--- a/tests/test_slow_uploads.py
+++ b/tests/test_slow_uploads.py
@@ -13,8 +13,8 @@
 from contextlib import asynccontextmanager, closing
 
 import pytest
-from loopback import HOST, Harness, async_test, raw_client, request, run_harness, soon, until
-from test_bodies import content
+from loopback import HOST, Harness, async_test, raw_client, read_head, request, run_harness, soon, until
+from test_bodies import CallbackServer, content
 
 from micadeck.http.client import ClientConnection
 
@@ -167,3 +167,29 @@
     async with slow_server(4e6, size, size) as harness:
         raw = large_request("length", size, wait_s)
         assert (await status_and_lateness(harness, raw, wait_s))[0] == 200
+
+
+class HeadServer:
+    """Reads a head, and then a whole body, without an answer."""
+
+    def __init__(self) -> None:
+        self.headers: dict[str, str] = {}
+        self.is_complete = False
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, number: int) -> None:
+        _, self.headers = await read_head(reader)
+        await reader.readexactly(int(self.headers["content-length"]))
+        self.is_complete = True
+
+
+@async_test
+async def test_the_server_of_a_large_request_is_told_no_more_time_than_the_client_waits() -> None:
+    server = HeadServer()
+    callback_server = await CallbackServer(server.serve).start()
+    async with run_harness(extra_entries=[callback_server.entry]) as harness:
+        client = await harness.client()
+        client.send(large_request("length", 300_000, 0.5)[:-1])
+        await until(lambda: bool(server.headers))
+        assert float(server.headers["request-timeout"]) <= 0.5
+        client.close()
+    callback_server.stop()
