HTTP: don't complete a large request whose client has left

The close is looked for before each part of a large body is read on. The new test, in which the end and the close lie in the socket together, fails before.

--- a/micadeck/http/downstream_connection.py
+++ b/micadeck/http/downstream_connection.py
@@ -251,6 +251,9 @@
         if self.state is ConnectionState.CLOSING:
             self.received_at = now
             return
+        if self._upload is not None and self._stream is not None and self._stream.has_ended():
+            self.abort_disconnected()  # what the client sent before it left must not complete its request
+            return
         if self.state in (ConnectionState.IDLE, ConnectionState.NEW):
             self._table.move(self, ConnectionState.READING)
         self.received_bytes += nbytes
--- a/tests/test_slow_uploads.py
+++ b/tests/test_slow_uploads.py
@@ -193,3 +193,19 @@
         assert float(server.headers["request-timeout"]) <= 0.5
         client.close()
     callback_server.stop()
+
+
+@async_test
+async def test_the_end_of_a_large_request_whose_client_has_left_is_not_sent_on() -> None:
+    server = HeadServer()
+    callback_server = await CallbackServer(server.serve).start()
+    async with run_harness(extra_entries=[callback_server.entry]) as harness:
+        raw = large_request("length", 120_000, 2.0)
+        with raw_client(harness) as client:
+            client.sendall(raw[:100_000])
+            await until(lambda: bool(server.headers))
+            client.sendall(raw[100_000:])  # the sidecar reads this, and the close, once this returns
+        await until(lambda: harness.sidecar.open_requests == 0)
+        await asyncio.sleep(0.1)
+        assert not server.is_complete
+    callback_server.stop()
