HTTP: don't begin an answer early that pauses in a trailer or chunk extension

One with a trailer or a chunk extension without end, which arrives slowly, was begun as well and broken off, where its request failed cleanly before. Over 64 bytes of framing behind the last part of the body it is waited for instead. The new test fails before.

--- a/micadeck/http/h1.py
+++ b/micadeck/http/h1.py
@@ -22,6 +22,7 @@
 _STREAMING_THRESHOLD_BYTES = 4 << 10  # buffered before a large answer, or one of unknown length, is streamed
 _SPACE = 0x20  # the tab's code is lower
 _SLICE_BYTES = 1 << 10  # parsed at once where a complete request may be followed by others
+_MAX_FRAMING_BYTES = 64  # between two parts of the body of an answer that is streamed early
 _MAX_INTERIM = 8  # 1xx responses before the final one
 
 
@@ -420,6 +421,8 @@
         if part is None or part.stream is not None or start_streaming is None or make_body_stream is None:
             return
         is_final = part.has_head and self._parser.get_status_code() == 200
+        if self._framing.pending > _MAX_FRAMING_BYTES:
+            return  # a trailer or chunk extension that may never end
         if is_final and not self.is_malformed and self._may_be_large(part):
             self._begin_streaming(part, start_streaming, make_body_stream)
 
--- a/tests/test_resting_answers.py
+++ b/tests/test_resting_answers.py
@@ -116,3 +116,14 @@
         assert not answer.endswith(b"\r\n0\r\n\r\n") and body not in answer
         assert len(harness.received) == 1
         await until(lambda: harness.sidecar.open_requests == 0)
+
+
+@async_test
+async def test_an_answer_that_pauses_in_a_long_trailer_is_not_begun() -> None:
+    async def script(received: ReceivedRequest) -> bytes:
+        received.writer.write(b"HTTP/1.1 200 OK\r\n" + FORMS["chunked"] + b"2\r\nok\r\n")
+        await asyncio.sleep(0.05)
+        return b"0\r\nx: " + b"v" * 200
+
+    async with run_harness(script) as harness:
+        assert (await harness.exchange("lodge", timeout="0.6")).status == 504
