HTTP: read large bodies in turns

The event loop reads a stream some 32 times in a row, 256 KiB of a client and 1 MiB of a server, before it goes on; beside hundreds of bodies at full speed others' answers, and the crowd's own, came up to 1 s late.

After 32 KiB of a large body in an iteration reading pauses until the next one, on both sides. The new test sees 349 kB of a server in an iteration before, where 131 kB are allowed; for a client it passes before too, as reading pauses for the server there, and guards the fix.

--- a/micadeck/http/client.py
+++ b/micadeck/http/client.py
@@ -16,7 +16,7 @@
 from micadeck.http.h1 import ResponseReader
 from micadeck.http.messages import LAST_CHUNK, Request, Response, encode_chunk
 from micadeck.memory.budget import MemoryUse
-from micadeck.network import Network, Stream, Timer
+from micadeck.network import Network, ReadTurn, Stream, Timer
 
 ANSWER_TIMEOUT_S = 0.25  # without a byte, once an answer has started, if another server may answer instead
 _ANSWER_MARGIN_S = 0.02  # before the exchange's deadline, the first bytes of a large answer are passed on
@@ -100,6 +100,7 @@
         self._sending: BodyStream | None = None  # the streamed request body, until it is written
         self._received_at = 0.0
         self._is_paused = False  # whether the answer's reader applies backpressure
+        self._turn = ReadTurn(network)  # of a streamed answer
         self._response_deadline: float | None = None  # of a streamed answer, unless it is large
         self._streamed_bytes = 0  # bytes read of the answer
         self._on_end: ExchangeCallback | None = None
@@ -297,18 +298,28 @@
 
     def _pause(self) -> None:
         self._is_paused = True
-        if self._transport is not None and not self._closed:
-            self._transport.pause_reading()
+        self._pause_reading()
 
     def _resume(self) -> None:
         self._is_paused = False
         self._received_at = self._network.time()
+        self._resume_reading()
+
+    def _pause_reading(self) -> None:
         if self._transport is not None and not self._closed:
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        """Read on, unless the answer's reader applies backpressure or others have their turn."""
+        is_held_up = self._is_paused or self._turn.is_over
+        if self._transport is not None and not self._closed and not is_held_up:
             self._transport.resume_reading()
 
     def _read(self, data: bytes) -> None:
         reader = self._reader
         self._streamed_bytes += len(data)
+        if reader.stream is not None:
+            self._turn.count(len(data), self._pause_reading, self._resume_reading)
         reader.feed(data)
         if reader.response is not None:
             self._finish_response(reader.response)
--- a/micadeck/http/downstream_connection.py
+++ b/micadeck/http/downstream_connection.py
@@ -261,6 +261,7 @@
         if self._upload is None:
             self._process_and_charge()
         else:
+            self._turn.count(nbytes, self._pause_reading, self._resume_after_turn)
             self._continue_upload()
         if not self._reader.has_unprocessed:
             return
@@ -339,6 +340,10 @@
             self.since += self.received_at - self._upload_paused_at
         self._resume_reading()
 
+    def _resume_after_turn(self) -> None:
+        if not self._is_writing_paused and (self._upload is None or not self._upload.is_paused):
+            self._resume_reading()
+
     def check_upload_time(self, now: float) -> None:
         """Count the time of a large request whose last bytes wait to be read; see `UploadClock`."""
         clock, stream, open_request = self._upload_clock, self._stream, self._open_request
--- a/micadeck/http/downstream_socket.py
+++ b/micadeck/http/downstream_socket.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from micadeck.http.buffer_budget import BufferBudget, UnsentData
-from micadeck.network import Network, Stream
+from micadeck.network import Network, ReadTurn, Stream
 
 _MAX_UNREAD_S = 60.0  # a larger reported age of unread data is implausible and is capped
 
@@ -20,6 +20,7 @@
         self._transport: asyncio.Transport | None = None
         self._stream: Stream | None = None
         self._is_reading_paused = False
+        self._turn = ReadTurn(network)  # of a large body
 
     @property
     def unsent_bytes(self) -> int:
@@ -48,6 +49,8 @@
             self._transport.pause_reading()
 
     def _resume_reading(self) -> None:
+        if self._turn.is_over:
+            return
         if self._transport is not None and not self._transport.is_closing():
             self._is_reading_paused = False
             self._transport.resume_reading()
--- a/micadeck/network/__init__.py
+++ b/micadeck/network/__init__.py
@@ -17,14 +17,17 @@
     parse_address,
 )
 from micadeck.network.loop import LoopNetwork, LoopScheduler
+from micadeck.network.read_turn import MAX_TURN_BYTES, ReadTurn
 
 __all__ = [
+    "MAX_TURN_BYTES",
     "Address",
     "DeferredCall",
     "Listener",
     "LoopNetwork",
     "LoopScheduler",
     "Network",
+    "ReadTurn",
     "Reservation",
     "Stream",
     "ThreadNetwork",
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -28,9 +28,12 @@
 
 from micadeck.http.body_stream import BodyStream
 from micadeck.http.buffer_budget import MAX_BUFFERED_BYTES, BufferBudget
+from micadeck.http.client import ClientConnection
 from micadeck.http.connection_limits import DownstreamLimits
+from micadeck.http.downstream_connection import DownstreamConnection
 from micadeck.http.h1 import RequestReader, ResponseReader
 from micadeck.http.messages import Request, Response
+from micadeck.network import MAX_TURN_BYTES
 
 LARGE = 4 << 20
 ADMIN = {"operator": f"{HOST}:0"}
@@ -681,3 +684,32 @@
         # 503 if connections to servers are exhausted.
         assert (await harness.exchange("check")).status in (200, 503)
         assert len(frontend.connections) <= frontend.connections.max_connections
+
+
+@pytest.mark.parametrize("side", ["client", "server"])
+@async_test
+async def test_a_large_body_is_read_in_turns(side: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an event loop that is held up for as long as many peers send at full speed."""
+    read_by_turn: dict[tuple[object, int], int] = {}
+    turn = 0
+    protocol = DownstreamConnection if side == "client" else ClientConnection
+    buffer_updated = protocol.buffer_updated
+
+    def counting(self: Any, nbytes: int) -> None:
+        read_by_turn[self, turn] = read_by_turn.get((self, turn), 0) + nbytes
+        buffer_updated(self, nbytes)
+
+    def next_turn() -> None:
+        nonlocal turn
+        turn += 1
+        asyncio.get_running_loop().call_soon(next_turn)
+
+    monkeypatch.setattr(protocol, "buffer_updated", counting)
+    body = content(LARGE) if side == "client" else b""
+    answer = content(LARGE) if side == "server" else b"ok"
+    async with sidecar_with_server(answers(answer, expected=body)) as (_, harness):
+        next_turn()
+        client = await harness.client()
+        client.send(request("lodge", body=body))
+        assert (await client.answer()).body == answer
+    assert max(read_by_turn.values()) < 2 * MAX_TURN_BYTES + MAX_BUFFERED_BYTES
