Engine: a process at the address of another that has gone is not taken for it

While a list names both, requests for the one that has gone were sent to the one that came up at its address under another id: in another cell, and a keyed one maybe a second time.

Of two servers at one address the one that started later is there; the other is left out of updates until it is alone again. Equal or unknown starts change nothing.

--- a/micadeck/engine/engine.py
+++ b/micadeck/engine/engine.py
@@ -10,6 +10,7 @@
 from functools import partial
 from typing import Any
 
+from micadeck.engine.address_owners import AddressOwners
 from micadeck.engine.final_answers import FinalAnswers
 from micadeck.engine.open_requests import OpenRequests
 from micadeck.engine.ports import (
@@ -119,6 +120,7 @@
         self.has_list = False
         self.memory: MemoryBudget | None = None
         self.foreign_ids: Container[bytes] = ()
+        self._address_owners = AddressOwners()
         self._events: deque[Event] = deque()
         self._is_handling = False
         self._open = OpenRequests(ports.network.now)
@@ -128,6 +130,7 @@
 
     def start(self, known: EndpointUpdate) -> None:
         """Use the last known endpoint list, and subscribe to updates from the source."""
+        known = self._address_owners.resolve(known)
         self._transport.update_endpoints(known)
         self._post(known.event(ListKind.REMEMBERED))
         self._source.start(self._endpoints_updated, lambda: self._post(ServersListed(ListKind.FAILED)))
@@ -326,9 +329,10 @@
 
     def _endpoints_updated(self, update: EndpointUpdate) -> None:
         self.has_list = True
-        self._transport.update_endpoints(update)
         if self.on_endpoint_update is not None:
             self.on_endpoint_update(update)
+        update = self._address_owners.resolve(update)
+        self._transport.update_endpoints(update)
         self._post(update.event())
 
     def _attempt_ended(
