--- a/micadeck/memory/budget.py
+++ b/micadeck/memory/budget.py
@@ -24,7 +24,7 @@
     REQUESTS = "requests"  # partly received, waiting or open, with their buffered bodies
     ANSWERS = "answers"  # buffered until they are complete
     # The following raise the level through resident memory only: rejecting requests would not reduce them.
-    UNSENT = "unsent"  # answers that clients have not read
+    UNSENT = "unsent"  # written to clients or servers, and not taken by the kernel
     BODIES = "bodies"  # large bodies that are being streamed; they have a limit of their own
 
 
